--- /dev/null
+++ b/message.go
@@ -0,0 +1,273 @@
+package galenalatch
+
+// Message is a message between routers. The list of messages is closed.
+type Message interface {
+	// MessageType returns the name of the message on the wire.
+	MessageType() string
+}
+
+// Hello opens a connection between routers.
+type Hello struct {
+	Router RouterID `cbor:"router"`
+	// Start is random for each start of the process.
+	Start      string     `cbor:"start"`
+	DataCentre DataCentre `cbor:"dataCentre"`
+	Protocol   int        `cbor:"protocol"`
+}
+
+// Holder says which router holds the lease of a cell.
+type Holder struct {
+	Cell   CellID   `cbor:"cell"`
+	Router RouterID `cbor:"router"`
+	Epoch  Epoch    `cbor:"epoch"`
+}
+
+// Heard is the age of the newest word of a router, in milliseconds.
+type Heard struct {
+	Router    RouterID `cbor:"router"`
+	AgeMillis int64    `cbor:"ageMillis"`
+}
+
+// GossipAsk asks for a Gossip. It carries the asker's own state too.
+type GossipAsk struct {
+	// Stamp is returned in the answer, so that ages count from before the
+	// question was sent.
+	Stamp  int64  `cbor:"stamp"`
+	Gossip Gossip `cbor:"gossip"`
+}
+
+// Gossip is what a router knows about the fleet.
+type Gossip struct {
+	Echo    int64   `cbor:"echo"`
+	Version Version `cbor:"version"`
+	// ConfirmedAgeMillis is the age of the newest read of the catalogue's
+	// head row that showed Version, or -1.
+	ConfirmedAgeMillis int64 `cbor:"confirmedAgeMillis"`
+	// Heard is sent only while the platform's table is not confirmed.
+	Heard   []Heard  `cbor:"heard,omitempty"`
+	Holders []Holder `cbor:"holders,omitempty"`
+}
+
+// ChangesAsk asks for the catalogue changes after a version.
+type ChangesAsk struct {
+	After Version `cbor:"after"`
+}
+
+// Changes carries encoded catalogue changes in order of their versions.
+type Changes struct {
+	Changes [][]byte `cbor:"changes"`
+}
+
+// Running is the record of a granted request.
+type Running struct {
+	Request   RequestID     `cbor:"request"`
+	Workspace WorkspaceName `cbor:"workspace"`
+	Class     Class         `cbor:"class"`
+	Server    ServerID      `cbor:"server"`
+	Boot      BootID        `cbor:"boot"`
+	Estimate  int64         `cbor:"estimate"`
+	Units     int64         `cbor:"units"`
+	// Home is the cell in which the request waited.
+	Home CellID `cbor:"home"`
+	// Slot is the lent slot that the request uses, if any.
+	Slot string `cbor:"slot,omitempty"`
+}
+
+// Report tells a new holder of a cell what an entry has waiting in it and
+// running on its servers or on slots lent to it.
+type Report struct {
+	Cell    CellID    `cbor:"cell"`
+	Epoch   Epoch     `cbor:"epoch"`
+	Waiting []Waiting `cbor:"waiting"`
+	Running []Running `cbor:"running"`
+}
+
+// Enqueue asks the holder of a home cell for a grant.
+type Enqueue struct {
+	Cell    CellID  `cbor:"cell"`
+	Waiting Waiting `cbor:"waiting"`
+}
+
+// Withdraw says that a waiting request needs no grant any more.
+type Withdraw struct {
+	Cell    CellID    `cbor:"cell"`
+	Request RequestID `cbor:"request"`
+}
+
+// Used is the cost so far of one running request.
+type Used struct {
+	Request RequestID `cbor:"request"`
+	Units   int64     `cbor:"units"`
+}
+
+// Progress carries the cost so far of the entry's running requests.
+type Progress struct {
+	Cell CellID `cbor:"cell"`
+	Used []Used `cbor:"used"`
+}
+
+// Finish ends a granted request.
+type Finish struct {
+	Cell    CellID    `cbor:"cell"`
+	Request RequestID `cbor:"request"`
+	Units   int64     `cbor:"units"`
+	Outcome Outcome   `cbor:"outcome"`
+	// Failed says that the server broke the connection or had another boot
+	// identity than the grant named.
+	Failed bool `cbor:"failed"`
+	// Completed says that the server answered the request.
+	Completed bool `cbor:"completed"`
+}
+
+// Grant lets an entry send one request to one backend server.
+type Grant struct {
+	Cell    CellID    `cbor:"cell"`
+	Epoch   Epoch     `cbor:"epoch"`
+	Request RequestID `cbor:"request"`
+	Server  ServerID  `cbor:"server"`
+	Address string    `cbor:"address"`
+	Boot    BootID    `cbor:"boot"`
+	// DataCentre is the data centre of the server.
+	DataCentre DataCentre `cbor:"dataCentre"`
+	// ServerCell and ServerEpoch name the cell to which the server belongs.
+	ServerCell  CellID `cbor:"serverCell"`
+	ServerEpoch Epoch  `cbor:"serverEpoch"`
+	// Slot is the lent slot that is used, if any.
+	Slot string `cbor:"slot,omitempty"`
+	// Lapsed says that the holder could not renew its lease.
+	Lapsed bool `cbor:"lapsed"`
+}
+
+// Refuse tells an entry that a request will get no grant.
+type Refuse struct {
+	Cell             CellID    `cbor:"cell"`
+	Request          RequestID `cbor:"request"`
+	Kind             Kind      `cbor:"kind"`
+	RetryAfterMillis int64     `cbor:"retryAfterMillis"`
+}
+
+// LeaseAsk asks a holder how long its lease still lasts.
+type LeaseAsk struct {
+	Cell  CellID `cbor:"cell"`
+	Stamp int64  `cbor:"stamp"`
+}
+
+// LeaseState answers LeaseAsk. The lease lasts at least RemainingMillis
+// counted from the asker's stamp.
+type LeaseState struct {
+	Cell            CellID `cbor:"cell"`
+	Epoch           Epoch  `cbor:"epoch"`
+	Echo            int64  `cbor:"echo"`
+	RemainingMillis int64  `cbor:"remainingMillis"`
+	Lapsed          bool   `cbor:"lapsed"`
+}
+
+// Summary is the state of a cell for the other cells of its pool.
+type Summary struct {
+	Cell  CellID `cbor:"cell"`
+	Epoch Epoch  `cbor:"epoch"`
+	// VirtualTime is the lowest counter among the backlogged workspaces.
+	VirtualTime int64 `cbor:"virtualTime"`
+	Waiting     int   `cbor:"waiting"`
+	Free        int   `cbor:"free"`
+}
+
+// Lend lets another cell of the pool use one slot of a server once.
+type Lend struct {
+	// From is the lending cell, To the borrowing one.
+	From       CellID     `cbor:"from"`
+	Epoch      Epoch      `cbor:"epoch"`
+	To         CellID     `cbor:"to"`
+	Slot       string     `cbor:"slot"`
+	Server     ServerID   `cbor:"server"`
+	Address    string     `cbor:"address"`
+	Boot       BootID     `cbor:"boot"`
+	DataCentre DataCentre `cbor:"dataCentre"`
+	// TermMillis is how long the slot may wait for use.
+	TermMillis int64 `cbor:"termMillis"`
+}
+
+// GiveBack returns a lent slot, used or not.
+type GiveBack struct {
+	// From is the borrowing cell, To the lending one.
+	From      CellID `cbor:"from"`
+	To        CellID `cbor:"to"`
+	Slot      string `cbor:"slot"`
+	Used      bool   `cbor:"used"`
+	Failed    bool   `cbor:"failed"`
+	Completed bool   `cbor:"completed"`
+}
+
+// Handover passes a cell to its next holder during a graceful shutdown.
+type Handover struct {
+	Cell     CellID                `cbor:"cell"`
+	Epoch    Epoch                 `cbor:"epoch"`
+	Counters map[string]int64      `cbor:"counters"`
+	Warm     map[string]WarmServer `cbor:"warm"`
+}
+
+// WarmServer is the warm state of a server at a handover.
+type WarmServer struct {
+	Boot      BootID `cbor:"boot"`
+	Completed int    `cbor:"completed"`
+}
+
+// Outgoing is a message with its destination.
+type Outgoing struct {
+	To      RouterID
+	Message Message
+}
+
+// MessageType implements Message.
+func (Hello) MessageType() string { return "hello" }
+
+// MessageType implements Message.
+func (GossipAsk) MessageType() string { return "gossipAsk" }
+
+// MessageType implements Message.
+func (Gossip) MessageType() string { return "gossip" }
+
+// MessageType implements Message.
+func (ChangesAsk) MessageType() string { return "changesAsk" }
+
+// MessageType implements Message.
+func (Changes) MessageType() string { return "changes" }
+
+// MessageType implements Message.
+func (Report) MessageType() string { return "report" }
+
+// MessageType implements Message.
+func (Enqueue) MessageType() string { return "enqueue" }
+
+// MessageType implements Message.
+func (Withdraw) MessageType() string { return "withdraw" }
+
+// MessageType implements Message.
+func (Progress) MessageType() string { return "progress" }
+
+// MessageType implements Message.
+func (Finish) MessageType() string { return "finish" }
+
+// MessageType implements Message.
+func (Grant) MessageType() string { return "grant" }
+
+// MessageType implements Message.
+func (Refuse) MessageType() string { return "refuse" }
+
+// MessageType implements Message.
+func (LeaseAsk) MessageType() string { return "leaseAsk" }
+
+// MessageType implements Message.
+func (LeaseState) MessageType() string { return "leaseState" }
+
+// MessageType implements Message.
+func (Summary) MessageType() string { return "summary" }
+
+// MessageType implements Message.
+func (Lend) MessageType() string { return "lend" }
+
+// MessageType implements Message.
+func (GiveBack) MessageType() string { return "giveBack" }
+
+// MessageType implements Message.
+func (Handover) MessageType() string { return "handover" }
