--- /dev/null
+++ b/internal/decide/directory/directory.go
@@ -0,0 +1,161 @@
+// Package directory derives the cells of the fleet from the catalogue and the
+// instance list. Every router computes the same result from the same input,
+// so no message is needed to agree on it.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/rendezvous"
+)
+
+// Directory is an immutable view of routers, backend servers and cells.
+type Directory struct {
+	catalogue galenalatch.Catalogue
+	routers   []galenalatch.Instance
+	cells     map[galenalatch.PoolName][]galenalatch.CellID
+	servers   map[galenalatch.CellID][]galenalatch.Instance
+	out       map[galenalatch.DataCentre]bool
+}
+
+// New derives the directory. Servers of unknown pools are left out.
+func New(c galenalatch.Catalogue, list []galenalatch.Instance) *Directory {
+	d := &Directory{
+		catalogue: c,
+		cells:     make(map[galenalatch.PoolName][]galenalatch.CellID),
+		servers:   make(map[galenalatch.CellID][]galenalatch.Instance),
+		out:       make(map[galenalatch.DataCentre]bool),
+	}
+	for _, dc := range c.OutOfService {
+		d.out[dc] = true
+	}
+	pools := make(map[galenalatch.PoolName]galenalatch.Pool, len(c.Pools))
+	for _, p := range c.Pools {
+		pools[p.Name] = p
+	}
+	for _, in := range list {
+		if in.Role == galenalatch.RouterRole {
+			d.routers = append(d.routers, in)
+			continue
+		}
+		if p, ok := pools[in.Pool]; ok {
+			d.addServer(p, in)
+		}
+	}
+	for p, ids := range d.cells {
+		d.cells[p] = sortedCells(ids)
+	}
+	return d
+}
+
+func (d *Directory) addServer(p galenalatch.Pool, in galenalatch.Instance) {
+	n := max(1, p.CellsPerDataCentre)
+	first := galenalatch.CellID{Pool: p.Name, DataCentre: in.DataCentre}
+	if !slices.Contains(d.cells[p.Name], first) {
+		for i := range n {
+			c := first
+			c.Index = i
+			d.cells[p.Name] = append(d.cells[p.Name], c)
+		}
+	}
+	indexes := make([]string, n)
+	for i := range n {
+		indexes[i] = strconv.Itoa(i)
+	}
+	i, _ := strconv.Atoi(rendezvous.Hash{Seed: "servers"}.Rank(in.ID, indexes)[0])
+	cell := first
+	cell.Index = i
+	d.servers[cell] = append(d.servers[cell], in)
+}
+
+func sortedCells(ids []galenalatch.CellID) []galenalatch.CellID {
+	names := make(map[string]galenalatch.CellID, len(ids))
+	for _, c := range ids {
+		names[c.String()] = c
+	}
+	sorted := make([]galenalatch.CellID, 0, len(ids))
+	for _, n := range slices.Sorted(maps.Keys(names)) {
+		sorted = append(sorted, names[n])
+	}
+	return sorted
+}
+
+// Catalogue returns the catalogue from which the directory was derived.
+func (d *Directory) Catalogue() galenalatch.Catalogue {
+	return d.catalogue
+}
+
+// Routers returns the listed routers.
+func (d *Directory) Routers() []galenalatch.Instance {
+	return d.routers
+}
+
+// Cells returns the cells of a pool in a fixed order.
+func (d *Directory) Cells(p galenalatch.PoolName) []galenalatch.CellID {
+	return d.cells[p]
+}
+
+// AllCells returns the cells of all pools.
+func (d *Directory) AllCells() []galenalatch.CellID {
+	var all []galenalatch.CellID
+	for _, p := range slices.Sorted(maps.Keys(d.cells)) {
+		all = append(all, d.cells[p]...)
+	}
+	return all
+}
+
+// Servers returns the backend servers of a cell.
+func (d *Directory) Servers(c galenalatch.CellID) []galenalatch.Instance {
+	return d.servers[c]
+}
+
+// Homes returns the cells of a pool in the order in which the workspace
+// prefers them as its home. Cells in data centres that are out of service
+// come last, so that they are used only when no other cell is left.
+func (d *Directory) Homes(w galenalatch.WorkspaceName, p galenalatch.PoolName) []galenalatch.CellID {
+	names := make([]string, 0, len(d.cells[p]))
+	byName := make(map[string]galenalatch.CellID, len(d.cells[p]))
+	for _, c := range d.cells[p] {
+		names = append(names, c.String())
+		byName[c.String()] = c
+	}
+	ranked := make([]galenalatch.CellID, 0, len(names))
+	var last []galenalatch.CellID
+	for _, n := range (rendezvous.Hash{Seed: "homes"}).Rank(string(w), names) {
+		c := byName[n]
+		if d.out[c.DataCentre] {
+			last = append(last, c)
+			continue
+		}
+		ranked = append(ranked, c)
+	}
+	return append(ranked, last...)
+}
+
+// Candidates returns the routers in the order in which they try to take the
+// lease of a cell. Routers in the cell's data centre come first; leaving
+// routers and routers in data centres that are out of service come last.
+func (d *Directory) Candidates(c galenalatch.CellID) []galenalatch.RouterID {
+	byName := make(map[string]galenalatch.Instance, len(d.routers))
+	names := make([]string, 0, len(d.routers))
+	for _, r := range d.routers {
+		byName[r.ID] = r
+		names = append(names, r.ID)
+	}
+	groups := make([][]galenalatch.RouterID, 3)
+	for _, n := range (rendezvous.Hash{Seed: "leases"}).Rank(c.String(), names) {
+		r := byName[n]
+		g := 1
+		switch {
+		case r.Leaving || d.out[r.DataCentre]:
+			g = 2
+		case r.DataCentre == c.DataCentre:
+			g = 0
+		}
+		groups[g] = append(groups[g], galenalatch.RouterID(n))
+	}
+	return slices.Concat(groups...)
+}
--- /dev/null
+++ b/internal/decide/directory/directory_test.go
@@ -0,0 +1,61 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/galenalatch/galenalatch"
+	"gotest.tools/v3/assert"
+)
+
+func fleet(cellsPerDataCentre int) (galenalatch.Catalogue, []galenalatch.Instance) {
+	c := galenalatch.Catalogue{Pools: []galenalatch.Pool{{Name: "plans", Kind: galenalatch.ModelPool, CellsPerDataCentre: cellsPerDataCentre}}}
+	var list []galenalatch.Instance
+	for i, dc := range []galenalatch.DataCentre{"a", "b", "c", "d"} {
+		for j := range 3 {
+			list = append(list,
+				galenalatch.Instance{ID: fmt.Sprint("w", i, j), Role: galenalatch.ServerRole, DataCentre: dc, Pool: "plans"},
+				galenalatch.Instance{ID: fmt.Sprint("r", i, j), Role: galenalatch.RouterRole, DataCentre: dc})
+		}
+	}
+	return c, list
+}
+
+// Guards against a server that belongs to no cell or to two.
+func TestEveryServerInOneCell(t *testing.T) {
+	for _, n := range []int{1, 2, 5} {
+		c, list := fleet(n)
+		d := New(c, list)
+		assert.Equal(t, len(d.Cells("plans")), 4*n)
+		seen := map[string]int{}
+		for _, id := range d.AllCells() {
+			for _, s := range d.Servers(id) {
+				seen[s.ID]++
+				assert.Equal(t, s.DataCentre, id.DataCentre)
+			}
+		}
+		assert.Equal(t, len(seen), 12)
+		for s, k := range seen {
+			assert.Equal(t, k, 1, s)
+		}
+	}
+}
+
+// Guards against homes and lease candidates that ignore an operator's order
+// to take a data centre out of service.
+func TestOutOfServiceComesLast(t *testing.T) {
+	c, list := fleet(1)
+	d := New(c.WithDataCentre("b", true), list)
+	for i := range 50 {
+		homes := d.Homes(galenalatch.WorkspaceName(fmt.Sprint("w", i)), "plans")
+		assert.Equal(t, len(homes), 4)
+		assert.Equal(t, homes[3].DataCentre, galenalatch.DataCentre("b"))
+	}
+	cell := galenalatch.CellID{Pool: "plans", DataCentre: "b"}
+	ranked := d.Candidates(cell)
+	assert.Equal(t, len(ranked), 12)
+	for _, r := range ranked[9:] {
+		assert.Equal(t, string(r[:2]), "r1")
+	}
+	assert.Equal(t, string(New(c, list).Candidates(cell)[0][:2]), "r1")
+}
--- /dev/null
+++ b/internal/process/entry/entry.go
@@ -0,0 +1,183 @@
+// Package entry runs callers' requests: it asks the dispatcher of the home
+// cell for a grant, checks the grant, runs the request on the backend server
+// that the grant names and reports the cost.
+//
+// An entry owns its requests. A dispatcher that loses its state gets it back
+// from the reports of the entries.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/directory"
+)
+
+const (
+	// maxSent is the number of times that a repeatable request is sent.
+	maxSent = 3
+	// maxReturned bounds the grants that a request returns unused.
+	maxReturned = 20
+)
+
+// Claim is the right to run a request that may not be repeated.
+type Claim interface {
+	// Finish stores the answer for callers that repeat the request.
+	Finish(ctx context.Context, a Answer) error
+	// Release says that the request was not sent.
+	Release(ctx context.Context) error
+}
+
+// Answer is a stored answer.
+type Answer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// Claims gives out claims. Exactly one of the three results is set.
+type Claims interface {
+	Claim(ctx context.Context, r galenalatch.Request) (Claim, *Answer, error)
+}
+
+// Options are the parts that an entry works with.
+type Options struct {
+	Self galenalatch.RouterID
+	// Directory returns the current directory.
+	Directory func() *directory.Directory
+	// Holder returns the newest known holder of a cell.
+	Holder func(galenalatch.CellID) (galenalatch.Holder, bool)
+	// Reachable reports whether messages reach the router now.
+	Reachable func(galenalatch.RouterID) bool
+	// Fresh returns nil while the catalogue is known to be current.
+	Fresh func() error
+	// Send queues a message for a router, which may be the own one.
+	Send func(galenalatch.RouterID, galenalatch.Message) bool
+	// Runner returns the runner for a kind of pool.
+	Runner func(galenalatch.PoolKind) galenalatch.Runner
+	Claims Claims
+	// Observer receives measurements; nil means none.
+	Observer Observer
+	// MaxWait bounds the wait for a grant, for each class.
+	MaxWait map[galenalatch.Class]time.Duration
+	// MaxHeld bounds the requests that the entry holds for a workspace.
+	MaxHeld int
+}
+
+// Observer receives one call for each grant and each request.
+type Observer interface {
+	Granted(r galenalatch.Request, wait time.Duration)
+	FirstPiece(r galenalatch.Request, since time.Duration)
+	Ended(r galenalatch.Request, took time.Duration, units int64, err error)
+}
+
+// Entry implements galenalatch.Submitter.
+type Entry struct {
+	options Options
+	base    time.Time
+
+	mu       sync.Mutex
+	pending  map[galenalatch.RequestID]*pending
+	running  map[galenalatch.RequestID]*running
+	held     map[galenalatch.WorkspaceName]int
+	leases   map[galenalatch.CellID]lease
+	changed  chan struct{}
+	reported map[galenalatch.CellID]reportedTo
+	unsent   []finished
+	units    map[unitsKey]float64
+}
+
+// New returns an entry. Run must be called for it to work.
+func New(o Options) *Entry {
+	if o.MaxWait == nil {
+		o.MaxWait = map[galenalatch.Class]time.Duration{
+			galenalatch.Interactive: time.Minute,
+			galenalatch.Batch:       15 * time.Minute,
+		}
+	}
+	if o.MaxHeld == 0 {
+		o.MaxHeld = 10000
+	}
+	if o.Observer == nil {
+		o.Observer = discard{}
+	}
+	return &Entry{
+		options:  o,
+		base:     time.Now(),
+		pending:  make(map[galenalatch.RequestID]*pending),
+		running:  make(map[galenalatch.RequestID]*running),
+		held:     make(map[galenalatch.WorkspaceName]int),
+		leases:   make(map[galenalatch.CellID]lease),
+		changed:  make(chan struct{}),
+		reported: make(map[galenalatch.CellID]reportedTo),
+		units:    make(map[unitsKey]float64),
+	}
+}
+
+// Active returns the number of requests that the entry holds.
+func (e *Entry) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, k := range e.held {
+		n += k
+	}
+	return n
+}
+
+// Submit implements galenalatch.Submitter.
+func (e *Entry) Submit(ctx context.Context, r galenalatch.Request, s galenalatch.Sink) error {
+	started := time.Now()
+	if err := e.hold(r.Workspace); err != nil {
+		return err
+	}
+	defer e.unhold(r.Workspace)
+	m := &meter{Sink: s, entry: e, request: r, started: started}
+	err := e.submit(ctx, r, m)
+	if ctx.Err() != nil && err != nil && galenalatch.KindOf(err) != galenalatch.KindWaitTimeout {
+		err = (&galenalatch.Error{Kind: galenalatch.KindCallerGone, Err: err}).WithOutcome(galenalatch.Cancelled)
+	}
+	e.options.Observer.Ended(r, time.Since(started), m.charged(), err)
+	return err
+}
+
+func (e *Entry) submit(ctx context.Context, r galenalatch.Request, m *meter) error {
+	if err := e.options.Fresh(); err != nil {
+		return err
+	}
+	pool, ok := e.options.Directory().Catalogue().Pool(r.Pool)
+	if !ok {
+		return galenalatch.KindNotFound.Errorf("pool %q is not in the catalogue", r.Pool)
+	}
+	t := &task{entry: e, request: r, pool: pool, meter: m}
+	err := t.run(ctx)
+	t.settleClaim(err)
+	return err
+}
+
+func (e *Entry) hold(w galenalatch.WorkspaceName) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held[w] >= e.options.MaxHeld {
+		return galenalatch.KindQueueFull.Errorf("workspace %q has %d requests on this router", w, e.held[w])
+	}
+	e.held[w]++
+	return nil
+}
+
+func (e *Entry) unhold(w galenalatch.WorkspaceName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held[w]--
+	if e.held[w] == 0 {
+		delete(e.held, w)
+	}
+}
+
+type discard struct{}
+
+func (discard) Granted(galenalatch.Request, time.Duration)             {}
+func (discard) FirstPiece(galenalatch.Request, time.Duration)          {}
+func (discard) Ended(galenalatch.Request, time.Duration, int64, error) {}
--- /dev/null
+++ b/internal/process/entry/grant.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// lease is what the entry knows about the lease of a cell.
+type lease struct {
+	epoch galenalatch.Epoch
+	// until is counted from before the question was sent, so that it is
+	// never later than the expiry on the holder's clock.
+	until time.Time
+	asked time.Time
+}
+
+// lapsedTrust is how long the word of a lapsed holder is trusted.
+const lapsedTrust = time.Second
+
+// confirmWait bounds the wait for the answer to a lease question.
+const confirmWait = time.Second
+
+// Handle takes in a message from a dispatcher. It reports false for messages
+// that are not for entries.
+func (e *Entry) Handle(from galenalatch.RouterID, m galenalatch.Message) bool {
+	switch m := m.(type) {
+	case galenalatch.Grant:
+		e.onGrant(m)
+	case galenalatch.Refuse:
+		e.onRefuse(m)
+	case galenalatch.LeaseState:
+		e.onLease(m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (e *Entry) onGrant(g galenalatch.Grant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p, ok := e.pending[g.Request]; ok {
+		delete(e.pending, g.Request)
+		if p.holder.Router != "" && p.holder.Cell != g.Cell {
+			e.options.Send(p.holder.Router, galenalatch.Withdraw{Cell: p.holder.Cell, Request: g.Request})
+		}
+		// The request counts as running from here on, so that a report or a
+		// repeated grant finds it.
+		e.running[g.Request] = &running{request: p.request, grant: g, record: p.record}
+		p.granted <- g
+		return
+	}
+	r, ok := e.running[g.Request]
+	if !ok {
+		e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Outcome: galenalatch.NotRun})
+		return
+	}
+	if r.grant == g {
+		return
+	}
+	if r.grant.Cell == g.Cell {
+		// The holder does not know that the request runs: a Finish would
+		// end the running one, a Report corrects the holder.
+		e.report(time.Now(), g.Cell)
+		return
+	}
+	e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Outcome: galenalatch.NotRun})
+}
+
+func (e *Entry) onRefuse(m galenalatch.Refuse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, ok := e.pending[m.Request]
+	if !ok || p.holder.Cell != m.Cell {
+		return
+	}
+	select {
+	case p.refused <- m:
+	default:
+	}
+}
+
+func (e *Entry) onLease(m galenalatch.LeaseState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.leases[m.Cell]
+	if m.Epoch < l.epoch {
+		return
+	}
+	remaining := time.Duration(m.RemainingMillis) * time.Millisecond
+	if m.Lapsed {
+		remaining = lapsedTrust
+	}
+	until := e.base.Add(time.Duration(m.Echo)).Add(remaining)
+	if m.Epoch > l.epoch || until.After(l.until) {
+		l.epoch, l.until = m.Epoch, until
+	}
+	e.leases[m.Cell] = l
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// askAgain is the pause between two questions about the same lease.
+const askAgain = 100 * time.Millisecond
+
+// ask asks a holder about its lease. The caller holds the lock.
+func (e *Entry) ask(now time.Time, h galenalatch.Holder) {
+	l := e.leases[h.Cell]
+	known := l.epoch == h.Epoch && l.until.Sub(now) > time.Second
+	if known || now.Sub(l.asked) < askAgain {
+		return
+	}
+	l.asked = now
+	e.leases[h.Cell] = l
+	e.options.Send(h.Router, galenalatch.LeaseAsk{Cell: h.Cell, Stamp: int64(now.Sub(e.base))})
+}
+
+// check reports why a grant must not be used now. It is called right before
+// the request is sent.
+func (e *Entry) check(g galenalatch.Grant) error {
+	if err := e.options.Fresh(); err != nil {
+		return err
+	}
+	if !e.options.Directory().Catalogue().InService(g.Server, g.DataCentre) {
+		return galenalatch.KindOutOfService.Errorf("server %q was taken out of service", g.Server)
+	}
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkLease(now, g.Cell, g.Epoch); err != nil {
+		return err
+	}
+	return e.checkLease(now, g.ServerCell, g.ServerEpoch)
+}
+
+func (e *Entry) checkLease(now time.Time, c galenalatch.CellID, epoch galenalatch.Epoch) error {
+	if h, ok := e.options.Holder(c); ok && h.Epoch > epoch {
+		return galenalatch.KindStaleGrant.Errorf("cell %s has epoch %d, the grant has %d", c, h.Epoch, epoch)
+	}
+	l := e.leases[c]
+	if l.epoch != epoch {
+		return galenalatch.KindStaleGrant.Errorf("the lease of cell %s with epoch %d is not confirmed", c, epoch)
+	}
+	if !now.Before(l.until) {
+		return galenalatch.KindStaleGrant.Errorf("the lease of cell %s with epoch %d has run out", c, epoch)
+	}
+	return nil
+}
+
+// confirm waits until the leases behind a grant are known to be valid.
+func (e *Entry) confirm(ctx context.Context, g galenalatch.Grant) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	for {
+		e.mu.Lock()
+		changed := e.changed
+		e.mu.Unlock()
+		err := e.check(g)
+		if err == nil || galenalatch.KindOf(err) != galenalatch.KindStaleGrant {
+			return err
+		}
+		e.askBoth(g)
+		select {
+		case <-changed:
+		case <-time.After(askAgain):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (e *Entry) askBoth(g galenalatch.Grant) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range []galenalatch.CellID{g.Cell, g.ServerCell} {
+		if h, ok := e.options.Holder(c); ok {
+			e.ask(now, h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/entry/report.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+const (
+	// placeEvery is how often waiting requests look for their home.
+	placeEvery = 100 * time.Millisecond
+	// progressEvery is how often the cost of running requests is reported.
+	progressEvery = time.Second
+)
+
+// reportedTo is the holder that has the entry's report of a cell.
+type reportedTo struct {
+	holder galenalatch.Holder
+}
+
+// Run moves waiting requests to their homes and reports to dispatchers until
+// the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	return e.loop(ctx)
+}
+
+func (e *Entry) loop(ctx context.Context) error {
+	tick := time.NewTicker(placeEvery)
+	defer tick.Stop()
+	var progressed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		now := time.Now()
+		e.mu.Lock()
+		e.reportNew(now)
+		e.placeAll(now)
+		e.resendFinishes(now)
+		if now.Sub(progressed) >= progressEvery {
+			progressed = now
+			e.progress(now)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// LinkUp says that the connection to a router is new, so that messages sent
+// before may be lost.
+func (e *Entry) LinkUp(r galenalatch.RouterID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c, t := range e.reported {
+		if t.holder.Router == r {
+			delete(e.reported, c)
+		}
+	}
+}
+
+// reportNew sends a report to each holder that does not have one, even an
+// empty one: a new holder waits for the reports of all routers.
+func (e *Entry) reportNew(now time.Time) {
+	for _, c := range e.options.Directory().AllCells() {
+		h, ok := e.options.Holder(c)
+		if !ok || e.reported[c].holder == h {
+			continue
+		}
+		e.report(now, c)
+	}
+}
+
+// report sends what the entry has in a cell to its holder.
+func (e *Entry) report(now time.Time, c galenalatch.CellID) {
+	h, ok := e.options.Holder(c)
+	if !ok {
+		return
+	}
+	m := galenalatch.Report{Cell: c, Epoch: h.Epoch}
+	for _, p := range e.pending {
+		if p.holder.Cell == c {
+			m.Waiting = append(m.Waiting, p.waiting(now))
+		}
+	}
+	for _, r := range e.running {
+		if r.grant.Cell == c || r.grant.ServerCell == c {
+			m.Running = append(m.Running, r.report())
+		}
+	}
+	if e.options.Send(h.Router, m) {
+		e.reported[c] = reportedTo{holder: h}
+	}
+}
+
+func (e *Entry) placeAll(now time.Time) {
+	for _, p := range e.pending {
+		e.place(now, p)
+	}
+}
+
+func (e *Entry) resendFinishes(now time.Time) {
+	old := e.unsent
+	e.unsent = nil
+	for _, f := range old {
+		if now.After(f.until) {
+			continue
+		}
+		if h, ok := e.options.Holder(f.message.Cell); ok && e.options.Send(h.Router, f.message) {
+			continue
+		}
+		e.unsent = append(e.unsent, f)
+	}
+}
+
+// progress reports all running requests to the holders of their home cells,
+// and renews what is known about the leases in use.
+func (e *Entry) progress(now time.Time) {
+	used := make(map[galenalatch.CellID][]galenalatch.Used)
+	for _, r := range e.running {
+		c := r.grant.Cell
+		used[c] = append(used[c], galenalatch.Used{Request: r.request.ID, Units: r.units.Load()})
+	}
+	for _, p := range e.pending {
+		if p.holder.Router != "" {
+			e.ask(now, p.holder)
+		}
+	}
+	for c, list := range used {
+		if h, ok := e.options.Holder(c); ok {
+			e.options.Send(h.Router, galenalatch.Progress{Cell: c, Used: list})
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/entry/task.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// task runs one request: it waits for a grant, sends the request and decides
+// whether to try again.
+type task struct {
+	entry   *Entry
+	request galenalatch.Request
+	pool    galenalatch.Pool
+	meter   *meter
+	claim   Claim
+	// sent counts attempts that may have reached a server.
+	sent int
+}
+
+// run returns nil when the whole answer went into the sink.
+func (t *task) run(ctx context.Context) error {
+	for returned := 0; ; {
+		g, err := t.await(ctx)
+		if err != nil {
+			return err
+		}
+		err = t.attempt(ctx, g)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if galenalatch.OutcomeOf(err) == galenalatch.NotRun {
+			returned++
+			if returned >= maxReturned || !retryable[galenalatch.KindOf(err)] {
+				return err
+			}
+			continue
+		}
+		t.sent++
+		if !t.request.Repeatable || t.meter.sentHead() || t.sent >= maxSent {
+			return err
+		}
+	}
+}
+
+// retryable holds the kinds of unused grants after which the request waits
+// for another grant.
+var retryable = map[galenalatch.Kind]bool{
+	galenalatch.KindBootMismatch:    true,
+	galenalatch.KindServerUnreached: true,
+	galenalatch.KindStaleGrant:      true,
+	galenalatch.KindOutOfService:    true,
+}
+
+// await queues the request at its home cell until a grant arrives.
+func (t *task) await(ctx context.Context) (galenalatch.Grant, error) {
+	e := t.entry
+	began := time.Now()
+	p := e.queue(t.request, t.pool)
+	limit := time.NewTimer(e.options.MaxWait[t.request.Class])
+	defer limit.Stop()
+	select {
+	case g := <-p.granted:
+		e.options.Observer.Granted(t.request, time.Since(began))
+		return g, nil
+	case r := <-p.refused:
+		e.withdraw(p)
+		return galenalatch.Grant{}, r.Kind.Errorf("the request was refused by cell %s", r.Cell)
+	case <-limit.C:
+		homeless := e.withdraw(p)
+		if homeless {
+			return galenalatch.Grant{}, galenalatch.KindNoDispatcher.Errorf("no dispatcher of pool %q is reachable", t.request.Pool)
+		}
+		return galenalatch.Grant{}, galenalatch.KindWaitTimeout.Errorf("no capacity of pool %q within %s", t.request.Pool, e.options.MaxWait[t.request.Class])
+	case <-ctx.Done():
+		e.withdraw(p)
+		return galenalatch.Grant{}, galenalatch.KindCallerGone.Errorf("while waiting for a grant: %w", context.Cause(ctx))
+	}
+}
+
+// attempt uses one grant. Whatever happens, the grant is ended by a Finish.
+func (t *task) attempt(ctx context.Context, g galenalatch.Grant) error {
+	e := t.entry
+	t.meter.begin(e.started(g), t.pool)
+	usage, err := t.use(ctx, g)
+	units := max(usage.Units(t.pool), t.meter.attemptUnits())
+	if err == nil {
+		e.learn(t.request, units)
+	}
+	if err != nil && galenalatch.OutcomeOf(err) == galenalatch.NotRun {
+		units = 0
+	}
+	e.end(g, units, err)
+	return err
+}
+
+func (t *task) use(ctx context.Context, g galenalatch.Grant) (galenalatch.Usage, error) {
+	e := t.entry
+	if err := e.confirm(ctx, g); err != nil {
+		return galenalatch.Usage{}, err
+	}
+	replayed, err := t.ensureClaim(ctx)
+	if replayed || err != nil {
+		return galenalatch.Usage{}, err
+	}
+	o := galenalatch.Order{
+		Request:    t.request.ID,
+		Server:     g.Server,
+		Address:    g.Address,
+		Boot:       g.Boot,
+		Method:     t.request.Method,
+		Path:       t.request.Path,
+		Header:     t.request.Header.Clone(),
+		Body:       t.request.Body,
+		Repeatable: t.request.Repeatable,
+		Resumes:    t.pool.Resumes,
+		Epoch:      g.ServerEpoch,
+		BeforeSend: func() error { return e.check(g) },
+	}
+	usage, err := e.options.Runner(t.pool.Kind).Run(ctx, o, t.meter)
+	if err == nil {
+		return usage, nil
+	}
+	if galenalatch.OutcomeOf(err) == galenalatch.NotRun && t.sent > 0 && !t.request.Repeatable {
+		// An earlier attempt may have run, so that NotRun would be wrong.
+		return usage, galenalatch.KindServerBroke.Errorf("after an earlier attempt: %w", err)
+	}
+	return usage, err
+}
+
+// ensureClaim claims a request that may not be repeated. It reports whether a
+// stored answer was replayed instead.
+func (t *task) ensureClaim(ctx context.Context) (replayed bool, err error) {
+	if t.request.Repeatable || t.request.Key == "" || t.claim != nil {
+		return false, nil
+	}
+	c, a, err := t.entry.options.Claims.Claim(ctx, t.request)
+	if err != nil {
+		return false, err
+	}
+	if a != nil {
+		return true, t.replay(*a)
+	}
+	t.claim = c
+	t.meter.record()
+	return false, nil
+}
+
+func (t *task) replay(a Answer) error {
+	h := make(map[string][]string, len(a.Header)+1)
+	for k, v := range a.Header {
+		h[k] = v
+	}
+	h["X-Replayed"] = []string{"true"}
+	if err := t.meter.Head(a.Status, h); err != nil {
+		return err
+	}
+	return t.meter.Piece(a.Body)
+}
+
+// settleClaim ends the claim: finished with its answer, released when the
+// request certainly was not sent, and otherwise left for nobody to run.
+func (t *task) settleClaim(err error) {
+	if t.claim == nil {
+		return
+	}
+	// The claim outlives the caller's connection, hence the new context.
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	switch {
+	case err == nil:
+		_ = t.claim.Finish(ctx, t.meter.answer())
+	case galenalatch.OutcomeOf(err) == galenalatch.NotRun && t.sent == 0:
+		_ = t.claim.Release(ctx)
+	}
+}
