Give grants serial numbers and lent slots a borrower epoch

A Finish or Progress that names only the request cannot tell two attempts of it apart. After a lost or delayed message the dispatcher could free a slot that is in use, or an entry could use a grant of an earlier attempt. Grant.Serial identifies a grant in Finish, Progress and Report. Grant.Ask and Lend.Ask ask what became of a grant or slot without allowing its use. Lend.ToEpoch keeps a later holder of the borrowing cell from using a slot that was offered to its predecessor. Running.ServerCell tells a new holder to which cell it must return a borrowed slot. All fields are additions.

--- a/message.go
+++ b/message.go
@@ -71,6 +71,10 @@
 	Home CellID `cbor:"home"`
 	// Slot is the lent slot that the request uses, if any.
 	Slot string `cbor:"slot,omitempty"`
+	// ServerCell is the cell to which the server belongs.
+	ServerCell CellID `cbor:"serverCell"`
+	// Serial is the serial number of the grant.
+	Serial uint64 `cbor:"serial,omitempty"`
 }
 
 // Report tells a new holder of a cell what an entry has waiting in it and
@@ -98,6 +102,8 @@
 type Used struct {
 	Request RequestID `cbor:"request"`
 	Units   int64     `cbor:"units"`
+	// Serial is the serial number of the grant.
+	Serial uint64 `cbor:"serial,omitempty"`
 }
 
 // Progress carries the cost so far of the entry's running requests.
@@ -117,6 +123,9 @@
 	Failed bool `cbor:"failed"`
 	// Completed says that the server answered the request.
 	Completed bool `cbor:"completed"`
+	// Serial is the serial number of the grant that ends. Zero stands for
+	// the only grant of the request.
+	Serial uint64 `cbor:"serial,omitempty"`
 }
 
 // Grant lets an entry send one request to one backend server.
@@ -136,6 +145,13 @@
 	Slot string `cbor:"slot,omitempty"`
 	// Lapsed says that the holder could not renew its lease.
 	Lapsed bool `cbor:"lapsed"`
+	// Serial increases with every grant of the cell, also from one epoch to
+	// the next. An entry accepts a grant of a request only when its serial
+	// is higher than all those it has seen for this request and cell.
+	Serial uint64 `cbor:"serial,omitempty"`
+	// Ask asks what became of the grant and does not allow a start. An entry
+	// that does not run the grant answers with Finish.
+	Ask bool `cbor:"ask,omitempty"`
 }
 
 // Refuse tells an entry that a request will get no grant.
@@ -185,6 +201,12 @@
 	DataCentre DataCentre `cbor:"dataCentre"`
 	// TermMillis is how long the slot may wait for use.
 	TermMillis int64 `cbor:"termMillis"`
+	// ToEpoch is the epoch of the borrowing holder. Holders of other epochs
+	// must not use the slot.
+	ToEpoch Epoch `cbor:"toEpoch"`
+	// Ask asks what became of the slot and is no offer. A borrower that does
+	// not use the slot answers with GiveBack.
+	Ask bool `cbor:"ask,omitempty"`
 }
 
 // GiveBack returns a lent slot, used or not.
