--- /dev/null
+++ b/internal/decide/cell/cell_test.go
@@ -0,0 +1,123 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"gotest.tools/v3/assert"
+)
+
+var (
+	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	pool   = galenalatch.Pool{Name: "m", Kind: galenalatch.ModelPool, ColdLimit: 2, WarmLimit: 4, MaxCost: 100}
+	cellID = galenalatch.CellID{Pool: "m", DataCentre: "a"}
+)
+
+// newCell returns a cell with a lease and one server with a load report.
+func newCell(t *testing.T) *Cell {
+	t.Helper()
+	c := New(Config{ID: cellID, Router: "r", Epoch: 1, Pool: pool, Start: start})
+	c.SetLease(start.Add(time.Hour), false)
+	c.SetRouters(start, nil)
+	c.SetServers(start, []galenalatch.Instance{{ID: "s", Address: "s:1", DataCentre: "a"}})
+	c.SetLoad(start, "s", start, galenalatch.LoadReport{Boot: "b1"}, nil)
+	return c
+}
+
+func enqueue(c *Cell, now time.Time, ids ...string) {
+	for _, id := range ids {
+		c.Handle(now, "e", galenalatch.Enqueue{Cell: cellID, Waiting: galenalatch.Waiting{
+			Request: galenalatch.RequestID(id), Workspace: "w", Class: galenalatch.Interactive, Estimate: 10,
+		}})
+	}
+}
+
+func grantsOf(out []galenalatch.Outgoing) []galenalatch.Grant {
+	var all []galenalatch.Grant
+	for _, o := range out {
+		if g, ok := o.Message.(galenalatch.Grant); ok {
+			all = append(all, g)
+		}
+	}
+	return all
+}
+
+// Guards against a cold server that receives more than its cold limit, and
+// against a limit that does not rise with completed work.
+func TestLimitRisesWithCompletedWork(t *testing.T) {
+	c := newCell(t)
+	enqueue(c, start, "1", "2", "3", "4", "5", "6")
+	first := grantsOf(c.Tick(start))
+	assert.Equal(t, len(first), 2)
+	assert.Equal(t, first[0].Boot, galenalatch.BootID("b1"))
+	c.Handle(start, "e", galenalatch.Finish{Cell: cellID, Request: first[0].Request, Serial: first[0].Serial, Units: 7, Outcome: galenalatch.Answered, Completed: true})
+	assert.Equal(t, len(grantsOf(c.Tick(start))), 2)
+}
+
+// Guards against a second grant for a duplicated Enqueue, and against a slot
+// that stays occupied when the entry denies a lost grant.
+func TestLostGrantIsRepeatedThenAsked(t *testing.T) {
+	c := newCell(t)
+	enqueue(c, start, "1")
+	g := grantsOf(c.Tick(start))[0]
+	enqueue(c, start, "1")
+	again := grantsOf(c.Tick(start))
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0], g)
+	now := start.Add(2500 * time.Millisecond)
+	c.SetLoad(now, "s", now, galenalatch.LoadReport{Boot: "b1"}, nil)
+	assert.Equal(t, grantsOf(c.Tick(now))[0], g)
+	now = now.Add(5 * time.Second)
+	ask := grantsOf(c.Tick(now))[0]
+	assert.Assert(t, ask.Ask)
+	c.Handle(now, "e", galenalatch.Finish{Cell: cellID, Request: "1", Serial: g.Serial, Outcome: galenalatch.NotRun})
+	s := c.Status(now)
+	assert.Equal(t, s.Granted, 0)
+	assert.Equal(t, s.Servers[0].Running, 0)
+}
+
+// Guards against grants without a lease, before reports or after a newer
+// epoch is known.
+func TestNoGrantWithoutLease(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(*Cell)
+		want   int
+	}{
+		{"valid", func(*Cell) {}, 1},
+		{"expired", func(c *Cell) { c.SetLease(start, false) }, 0},
+		{"lapsed", func(c *Cell) { c.SetLease(start, true) }, 1},
+		{"unreported", func(c *Cell) { c.SetRouters(start, []galenalatch.RouterID{"x"}) }, 0},
+		{"newer", func(c *Cell) { c.SetPeers(start, []galenalatch.Holder{{Cell: cellID, Epoch: 2}}) }, 0},
+		{"boot unknown", func(c *Cell) { c.SetServers(start, []galenalatch.Instance{{ID: "t"}}) }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t)
+			tc.change(c)
+			enqueue(c, start, "1")
+			assert.Equal(t, len(grantsOf(c.Tick(start))), tc.want)
+		})
+	}
+}
+
+// Guards against a cell that keeps free slots while another cell of the pool
+// has waiting work, and against loans that are counted twice.
+func TestLoanGoesToNeediestCell(t *testing.T) {
+	c := newCell(t)
+	for i, vt := range []int64{50, 20} {
+		id := galenalatch.CellID{Pool: "m", DataCentre: galenalatch.DataCentre(fmt.Sprint("p", i))}
+		c.Handle(start, galenalatch.RouterID(fmt.Sprint("r", i)), galenalatch.Summary{Cell: id, Epoch: 1, VirtualTime: vt, Waiting: 1})
+	}
+	out := c.Tick(start)
+	assert.Equal(t, len(out), 2)
+	assert.Equal(t, out[0].To, galenalatch.RouterID("r1"))
+	l := out[0].Message.(galenalatch.Lend)
+	back := galenalatch.GiveBack{From: l.To, To: cellID, Slot: l.Slot, Used: true, Completed: true}
+	c.Handle(start, "r1", back)
+	c.Handle(start, "r1", back)
+	s := c.Status(start)
+	assert.Equal(t, s.Lent, 1)
+	assert.Equal(t, s.Servers[0].Limit, 3)
+}
