Add application and difference of catalogue changes

Routers turn changes into catalogues, and the operator commands turn an edited catalogue into a change. WithChange sorts every list, so that all routers hold the same value.

--- /dev/null
+++ b/change_apply.go
@@ -0,0 +1,92 @@
+package galenalatch
+
+import (
+	"cmp"
+	"maps"
+	"reflect"
+	"slices"
+)
+
+// Key returns the identity of the entry.
+func (e Entry) Key() EntryKey {
+	return EntryKey{Workspace: e.Workspace, Class: e.Class}
+}
+
+// WithChange returns the catalogue that results from the change ch. Lists are
+// sorted by name. An item that the change both removes and puts is put.
+func (c Catalogue) WithChange(ch Change) Catalogue {
+	c.Version = ch.Version
+	c.Pools = merge(c.Pools, ch.PutPools, ch.RemovePools, poolKey, cmp.Compare)
+	c.Workspaces = merge(c.Workspaces, ch.PutWorkspaces, ch.RemoveWorkspaces, workspaceKey, cmp.Compare)
+	c.Entries = merge(c.Entries, ch.PutEntries, ch.RemoveEntries, Entry.Key, compareEntryKeys)
+	c.OutOfService = merge(c.OutOfService, ch.PutOut, ch.RemoveOut, self, cmp.Compare)
+	c.ServersOut = merge(c.ServersOut, ch.PutServersOut, ch.RemoveServersOut, self, cmp.Compare)
+	if ch.DefaultLimits != nil {
+		c.DefaultLimits = *ch.DefaultLimits
+	}
+	return c
+}
+
+// Diff returns the change that turns from into to. It carries the version of
+// to, and neither id nor author.
+func Diff(from, to Catalogue) Change {
+	ch := Change{Version: to.Version}
+	ch.PutPools, ch.RemovePools = diff(from.Pools, to.Pools, poolKey, cmp.Compare)
+	ch.PutWorkspaces, ch.RemoveWorkspaces = diff(from.Workspaces, to.Workspaces, workspaceKey, cmp.Compare)
+	ch.PutEntries, ch.RemoveEntries = diff(from.Entries, to.Entries, Entry.Key, compareEntryKeys)
+	ch.PutOut, ch.RemoveOut = diff(from.OutOfService, to.OutOfService, self, cmp.Compare)
+	ch.PutServersOut, ch.RemoveServersOut = diff(from.ServersOut, to.ServersOut, self, cmp.Compare)
+	if from.DefaultLimits != to.DefaultLimits {
+		ch.DefaultLimits = &to.DefaultLimits
+	}
+	return ch
+}
+
+func poolKey(p Pool) PoolName                { return p.Name }
+func workspaceKey(w Workspace) WorkspaceName { return w.Name }
+func self[T any](v T) T                      { return v }
+
+func compareEntryKeys(a, b EntryKey) int {
+	return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class))
+}
+
+func byKey[T any, K comparable](list []T, key func(T) K) map[K]T {
+	m := make(map[K]T, len(list))
+	for _, v := range list {
+		m[key(v)] = v
+	}
+	return m
+}
+
+func merge[T any, K comparable](old, put []T, remove []K, key func(T) K, compare func(a, b K) int) []T {
+	m := byKey(old, key)
+	for _, k := range remove {
+		delete(m, k)
+	}
+	for _, v := range put {
+		m[key(v)] = v
+	}
+	if len(m) == 0 {
+		return nil
+	}
+	merged := make([]T, 0, len(m))
+	for _, k := range slices.SortedFunc(maps.Keys(m), compare) {
+		merged = append(merged, m[k])
+	}
+	return merged
+}
+
+func diff[T any, K comparable](from, to []T, key func(T) K, compare func(a, b K) int) (put []T, remove []K) {
+	before, after := byKey(from, key), byKey(to, key)
+	for _, k := range slices.SortedFunc(maps.Keys(after), compare) {
+		if old, ok := before[k]; !ok || !reflect.DeepEqual(old, after[k]) {
+			put = append(put, after[k])
+		}
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(before), compare) {
+		if _, ok := after[k]; !ok {
+			remove = append(remove, k)
+		}
+	}
+	return put, remove
+}
