Add the platform clients and the stand-in platform

Table service, object store and instance list over HTTP with conditional requests. The clients report a failed write as having had no effect only when no connection was obtained or the platform refused the call itself; otherwise it is unclear. The stand-in injects outages, hangs, delays and lost responses over /control. A delayed write takes effect after its client gave up, so that read-backs are tested against late writes.

--- /dev/null
+++ b/internal/platform/object/client.go
@@ -0,0 +1,41 @@
+// Package object is the HTTP client of the platform's object store.
+package object
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+)
+
+// Client implements galenalatch.ObjectStore.
+type Client struct {
+	caller *call.Caller
+}
+
+var _ galenalatch.ObjectStore = (*Client)(nil)
+
+// New returns a client that makes its calls through c.
+func New(c *call.Caller) *Client {
+	return &Client{caller: c}
+}
+
+// Get implements galenalatch.ObjectStore.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
+	if key == "" {
+		return nil, galenalatch.KindPlatformDown.Errorf("object store: key is empty")
+	}
+	resp, err := c.caller.Do(ctx, call.Request{Method: http.MethodGet, Path: "objects/" + call.Escape(key)})
+	return resp.Body, err
+}
+
+// Put implements galenalatch.ObjectStore.
+func (c *Client) Put(ctx context.Context, key string, value []byte) error {
+	if key == "" {
+		return galenalatch.KindPlatformDown.Errorf("object store: key is empty")
+	}
+	_, err := c.caller.Do(ctx, call.Request{Method: http.MethodPut, Path: "objects/" + call.Escape(key),
+		Body: append([]byte{}, value...), Write: true})
+	return err
+}
--- /dev/null
+++ b/internal/platform/table/client_test.go
@@ -0,0 +1,184 @@
+package table_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+	"github.com/galenalatch/galenalatch/internal/platform/table"
+	"github.com/galenalatch/galenalatch/internal/standin/platform"
+)
+
+func start(t *testing.T, timeout time.Duration) (*platform.Server, *table.Client) {
+	t.Helper()
+	s := platform.New(platform.WithToken("secret"))
+	web := httptest.NewServer(s)
+	t.Cleanup(web.Close)
+	c, err := call.New(web.URL, call.WithToken("secret"), call.WithTimeout(timeout))
+	assert.NilError(t, err)
+	return s, table.New(c)
+}
+
+func kind(err error) galenalatch.Kind {
+	if err == nil {
+		return ""
+	}
+	return galenalatch.KindOf(err)
+}
+
+// TestConditions guards against conditions that are not carried, not checked
+// or reported with another kind.
+func TestConditions(t *testing.T) {
+	ctx := t.Context()
+	_, c := start(t, time.Second)
+	first, err := c.Put(ctx, galenalatch.Write{Key: "a/b", Value: []byte("1"), IfAbsent: true})
+	assert.NilError(t, err)
+	second, err := c.Put(ctx, galenalatch.Write{Key: "a/b", Value: []byte("2"), IfTag: first.Tag})
+	assert.NilError(t, err)
+	assert.Assert(t, first.Tag != second.Tag)
+	for _, w := range []galenalatch.Write{
+		{Key: "a/b", Value: []byte("3"), IfAbsent: true},
+		{Key: "a/b", Value: []byte("3"), IfTag: first.Tag},
+		{Key: "a/b", Delete: true, IfTag: first.Tag},
+		{Key: "none", Value: []byte("3"), IfTag: first.Tag},
+	} {
+		_, err := c.Put(ctx, w)
+		assert.Equal(t, kind(err), galenalatch.KindConflict, "%+v", w)
+	}
+	got, err := c.Get(ctx, "a/b")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, galenalatch.Row{Key: "a/b", Value: []byte("2"), Tag: second.Tag})
+	_, err = c.Get(ctx, "a")
+	assert.Equal(t, kind(err), galenalatch.KindNotFound)
+	_, err = c.Put(ctx, galenalatch.Write{Key: "a/b", Delete: true, IfTag: second.Tag})
+	assert.NilError(t, err)
+	_, err = c.Get(ctx, "a/b")
+	assert.Equal(t, kind(err), galenalatch.KindNotFound)
+}
+
+// TestKeys guards against keys that are cut, joined or resolved as paths.
+func TestKeys(t *testing.T) {
+	_, c := start(t, time.Second)
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.OneOf(rapid.StringMatching(`[./%?#&+ a:\\]{1,6}`), rapid.StringN(1, 8, 40)).Draw(t, "key")
+		value := []byte(key)
+		row, err := c.Put(context.Background(), galenalatch.Write{Key: key, Value: value})
+		assert.NilError(t, err)
+		got, err := c.Get(context.Background(), key)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, row)
+		list, err := c.List(context.Background(), key)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, list[0], row)
+	})
+}
+
+// TestBatchAndTransaction guards against a batch that is all or nothing and a
+// transaction that is not.
+func TestBatchAndTransaction(t *testing.T) {
+	ctx := t.Context()
+	_, c := start(t, time.Second)
+	results, err := c.Batch(ctx, []galenalatch.Write{
+		{Key: "x", Value: []byte("1"), IfAbsent: true},
+		{Key: "x", Value: []byte("2"), IfAbsent: true},
+		{Key: "y", Value: []byte("3")},
+		{Key: "z", Delete: true},
+	})
+	assert.NilError(t, err)
+	var kinds []galenalatch.Kind
+	for _, r := range results {
+		kinds = append(kinds, kind(r.Err))
+	}
+	assert.DeepEqual(t, kinds, []galenalatch.Kind{"", galenalatch.KindConflict, "", galenalatch.KindNotFound})
+
+	_, err = c.Transaction(ctx, []galenalatch.Write{
+		{Key: "x", Value: []byte("4"), IfTag: results[0].Row.Tag},
+		{Key: "y", Value: []byte("5"), IfAbsent: true},
+	})
+	assert.Equal(t, kind(err), galenalatch.KindConflict)
+	rows, err := c.Transaction(ctx, []galenalatch.Write{
+		{Key: "x", Value: []byte("6"), IfTag: results[0].Row.Tag},
+		{Key: "y", Value: []byte("7"), IfTag: results[2].Row.Tag},
+	})
+	assert.NilError(t, err)
+	list, err := c.List(ctx, "")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, list, rows)
+}
+
+// TestErrorKinds guards against a failed write that is reported as having had
+// no effect although it may have had one.
+func TestErrorKinds(t *testing.T) {
+	tests := map[string]struct {
+		faults      platform.Faults
+		read, write galenalatch.Kind
+		effect      bool
+	}{
+		"down":          {platform.Faults{Down: true}, galenalatch.KindPlatformDown, galenalatch.KindPlatformDown, false},
+		"other target":  {platform.Faults{Down: true, Targets: []string{"objects"}}, "", "", true},
+		"reads refused": {platform.Faults{RefuseReads: true}, galenalatch.KindPlatformDown, "", true},
+		"hang":          {platform.Faults{Hang: true}, galenalatch.KindPlatformDown, galenalatch.KindUnclear, false},
+		"lost":          {platform.Faults{LoseNext: 1}, "", galenalatch.KindUnclear, true},
+		"always lost":   {platform.Faults{LoseShare: 1}, "", galenalatch.KindUnclear, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, c := start(t, 200*time.Millisecond)
+			_, err := c.Put(t.Context(), galenalatch.Write{Key: "k", Value: []byte("old")})
+			assert.NilError(t, err)
+			s.SetFaults(tt.faults)
+			_, err = c.Get(t.Context(), "k")
+			assert.Equal(t, kind(err), tt.read)
+			_, err = c.Put(t.Context(), galenalatch.Write{Key: "k", Value: []byte("new")})
+			assert.Equal(t, kind(err), tt.write)
+			s.SetFaults(platform.Faults{})
+			row, err := c.Get(t.Context(), "k")
+			assert.NilError(t, err)
+			assert.Equal(t, string(row.Value) == "new", tt.effect)
+		})
+	}
+}
+
+// TestStatuses guards against a status of a gateway that is taken for a
+// refusal of the platform.
+func TestStatuses(t *testing.T) {
+	for status, want := range map[int]galenalatch.Kind{
+		http.StatusInternalServerError: galenalatch.KindUnclear,
+		http.StatusBadGateway:          galenalatch.KindUnclear,
+		http.StatusGatewayTimeout:      galenalatch.KindUnclear,
+		http.StatusFound:               galenalatch.KindUnclear,
+		http.StatusServiceUnavailable:  galenalatch.KindPlatformDown,
+		http.StatusUnauthorized:        galenalatch.KindPlatformDown,
+		http.StatusTooManyRequests:     galenalatch.KindPlatformDown,
+	} {
+		web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(status)
+		}))
+		c, err := call.New(web.URL)
+		assert.NilError(t, err)
+		_, err = table.New(c).Put(t.Context(), galenalatch.Write{Key: "k"})
+		assert.Equal(t, kind(err), want, "status %d", status)
+		web.Close()
+	}
+}
+
+// TestNoConnection guards against calls that were never sent being reported
+// as unclear: claims would then wait for nothing.
+func TestNoConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	c, err := call.New("http://" + l.Addr().String())
+	assert.NilError(t, err)
+	_, err = table.New(c).Put(t.Context(), galenalatch.Write{Key: "k"})
+	assert.Equal(t, kind(err), galenalatch.KindPlatformDown)
+}
