--- /dev/null
+++ b/internal/platform/catalogue/store_test.go
@@ -0,0 +1,278 @@
+package catalogue_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
+	"github.com/galenalatch/galenalatch/internal/platform/object"
+	"github.com/galenalatch/galenalatch/internal/platform/table"
+	"github.com/galenalatch/galenalatch/internal/standin/platform"
+)
+
+func open(t assert.TestingT, s *platform.Server, opts ...catalogue.Option) *catalogue.Store {
+	c, err := call.New("http://platform", call.WithTransport(s.Transport()))
+	assert.NilError(t, err)
+	return catalogue.New(table.New(c), object.New(c), opts...)
+}
+
+func out(id, dataCentre string) galenalatch.Change {
+	return galenalatch.Change{ID: id, Author: "op", PutOut: []galenalatch.DataCentre{galenalatch.DataCentre(dataCentre)}}
+}
+
+func grow(t *testing.T, s *catalogue.Store, n int) {
+	t.Helper()
+	for range n {
+		v := s.Current().Version
+		_, err := s.Apply(t.Context(), v, out("", fmt.Sprint("d", v)))
+		assert.NilError(t, err)
+	}
+}
+
+// TestConflict guards against the second of two changes with the same base
+// being accepted, and against an error that does not help the operator.
+func TestConflict(t *testing.T) {
+	server := platform.New()
+	a, b := open(t, server), open(t, server)
+	v, err := a.Apply(t.Context(), 0, out("1", "x"))
+	assert.NilError(t, err)
+	assert.Equal(t, v, galenalatch.Version(1))
+	_, err = b.Apply(t.Context(), 0, out("2", "y"))
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindConflict)
+	assert.ErrorContains(t, err, "the current version is 1")
+	v, err = b.Apply(t.Context(), 0, out("1", "x"))
+	assert.NilError(t, err, "a repeated change is accepted once")
+	assert.Equal(t, v, galenalatch.Version(1))
+	assert.DeepEqual(t, b.Current(), a.Current())
+}
+
+// TestInvalid guards against changes that pass without validation.
+func TestInvalid(t *testing.T) {
+	server := platform.New()
+	s := open(t, server, catalogue.WithValidation(func(c galenalatch.Catalogue) error {
+		if len(c.OutOfService) > 1 {
+			return errors.New("too many data centres are out of service")
+		}
+		return nil
+	}))
+	grow(t, s, 1)
+	_, err := s.Apply(t.Context(), 1, out("2", "y"))
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindInvalidCatalogue)
+	_, err = s.Apply(t.Context(), 1, galenalatch.Change{Author: strings.Repeat("x", 200<<10)})
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindTooLarge)
+	assert.Equal(t, s.Current().Version, galenalatch.Version(1))
+}
+
+// TestFaults guards against a lost response that leads to a second version or
+// to a wrong report, and against an outage that is reported as unclear.
+func TestFaults(t *testing.T) {
+	for name, tt := range map[string]struct {
+		faults platform.Faults
+		want   galenalatch.Kind
+	}{
+		"one response lost": {platform.Faults{LoseNext: 1}, ""},
+		"late effect":       {platform.Faults{WriteDelayMillis: 1500}, ""},
+		"never resolved":    {platform.Faults{WriteDelayMillis: 60000}, galenalatch.KindUnclear},
+		"writes refused":    {platform.Faults{RefuseWrites: true}, galenalatch.KindPlatformDown},
+		"down":              {platform.Faults{Down: true}, galenalatch.KindPlatformDown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// The bubble ends when the late writes have arrived.
+				defer func() { <-time.After(time.Minute) }()
+				server := platform.New()
+				s := open(t, server)
+				grow(t, s, 1)
+				server.SetFaults(tt.faults)
+				_, err := s.Apply(t.Context(), 1, out("id", "x"))
+				if tt.want != "" {
+					assert.Equal(t, galenalatch.KindOf(err), tt.want)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, s.Current().Version, galenalatch.Version(2))
+				history, err := s.History(t.Context(), 5)
+				assert.NilError(t, err)
+				assert.Equal(t, len(history), 2)
+			})
+		})
+	}
+}
+
+// TestSnapshots guards against routers that start with an old catalogue, read
+// every change ever made, or cannot start without a snapshot.
+func TestSnapshots(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("lost=", lost), func(t *testing.T) {
+			server := platform.New()
+			writer := open(t, server)
+			grow(t, writer, 199)
+			if lost {
+				server.SetFaults(platform.Faults{Down: true, Targets: []string{"objects"}})
+			}
+			grow(t, writer, 52)
+			server.SetFaults(platform.Faults{})
+			before := server.Stats().Reads
+			s := open(t, server)
+			v, sent, err := s.Confirm(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, v, galenalatch.Version(251))
+			assert.Assert(t, time.Since(sent) < time.Minute)
+			assert.DeepEqual(t, s.Current(), writer.Current())
+			assert.Assert(t, server.Stats().Reads-before <= 5)
+
+			history, err := s.History(t.Context(), 170)
+			assert.NilError(t, err)
+			want, err := writer.History(t.Context(), 170)
+			assert.NilError(t, err)
+			assert.Equal(t, len(want), 170)
+			assert.DeepEqual(t, history, want)
+		})
+	}
+}
+
+// TestLearn guards against changes of peers that are applied out of order,
+// and against a peer far behind that cannot catch up while the platform is
+// down.
+func TestLearn(t *testing.T) {
+	server := platform.New()
+	writer := open(t, server)
+	grow(t, writer, 120)
+	server.SetFaults(platform.Faults{Down: true})
+	var versions []galenalatch.Version
+	s := open(t, server, catalogue.WithNotify(func(c galenalatch.Catalogue) { versions = append(versions, c.Version) }))
+
+	changes := writer.ChangesAfter(0)
+	v, err := s.Learn(changes[1:])
+	assert.NilError(t, err)
+	assert.Equal(t, v, galenalatch.Version(0), "a gap is not skipped")
+	_, err = s.Learn(changes[:2])
+	assert.NilError(t, err)
+	_, err = s.Learn(changes)
+	assert.NilError(t, err)
+	assert.Equal(t, len(versions), 120)
+	assert.DeepEqual(t, s.Current(), writer.Current())
+	_, err = s.Learn([][]byte{[]byte("{")})
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindBadRequest)
+
+	server.SetFaults(platform.Faults{})
+	late := open(t, server)
+	grow(t, writer, 1)
+	_, _, err = late.Confirm(t.Context())
+	assert.NilError(t, err)
+	fresh := open(t, server)
+	_, err = fresh.Learn(late.ChangesAfter(0))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, fresh.Current(), writer.Current())
+	_, err = fresh.Learn(writer.ChangesAfter(50))
+	assert.NilError(t, err)
+	assert.Equal(t, fresh.Current().Version, galenalatch.Version(121))
+}
+
+// operator makes changes through a router of its own.
+type operator struct {
+	store    *catalogue.Store
+	accepted map[string]galenalatch.Version
+	refused  map[string]galenalatch.Kind
+	wentBack bool
+}
+
+func (o *operator) run(ctx context.Context, name string, n int, done *sync.WaitGroup) {
+	defer done.Done()
+	for i := range n {
+		id := fmt.Sprint(name, i)
+		v, err := o.store.Apply(ctx, o.store.Current().Version, out(id, id))
+		if err != nil {
+			o.refused[id] = galenalatch.KindOf(err)
+			continue
+		}
+		o.accepted[id] = v
+	}
+}
+
+// TestRaces guards against changes of concurrent operators that are lost,
+// made twice or reported wrongly while responses are lost or late, and
+// against versions that go back.
+func TestRaces(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		server := platform.New(platform.WithSeed(rapid.Uint64().Draw(r, "seed")))
+		server.SetFaults(platform.Faults{
+			LoseShare:        rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(r, "lost"),
+			DelayMillis:      rapid.SampledFrom([]int64{0, 200, 600}).Draw(r, "delay"),
+			WriteDelayMillis: rapid.SampledFrom([]int64{0, 0, 200, 800, 1200}).Draw(r, "write delay"),
+		})
+		n := rapid.IntRange(2, 4).Draw(r, "operators")
+		var err error
+		synctest.Test(t, func(t *testing.T) { err = race(t.Context(), server, n) })
+		assert.NilError(r, err)
+	})
+}
+
+func race(ctx context.Context, server *platform.Server, n int) error {
+	var errs []error
+	operators := make([]*operator, n)
+	var done sync.WaitGroup
+	for i := range operators {
+		var last galenalatch.Version
+		c, err := call.New("http://platform", call.WithTransport(server.Transport()))
+		if err != nil {
+			return err
+		}
+		o := &operator{accepted: map[string]galenalatch.Version{}, refused: map[string]galenalatch.Kind{}}
+		o.store = catalogue.New(table.New(c), object.New(c), catalogue.WithNotify(func(c galenalatch.Catalogue) {
+			if c.Version <= last {
+				o.wentBack = true
+			}
+			last = c.Version
+		}))
+		operators[i] = o
+		done.Add(1)
+		go o.run(ctx, string(rune('a'+i)), 6, &done)
+	}
+	done.Wait()
+	// Late writes take effect before the result is read.
+	<-time.After(2 * time.Second)
+	server.SetFaults(platform.Faults{})
+	reader := operators[0].store
+	if _, _, err := reader.Confirm(ctx); err != nil {
+		return err
+	}
+	history, err := reader.History(ctx, 1000)
+	if err != nil || galenalatch.Version(len(history)) != reader.Current().Version {
+		return fmt.Errorf("history has %d changes, version is %d: %w", len(history), reader.Current().Version, err)
+	}
+	versions := map[string]galenalatch.Version{}
+	for _, c := range history {
+		if versions[c.ID] != 0 {
+			errs = append(errs, fmt.Errorf("change %s is made twice", c.ID))
+		}
+		versions[c.ID] = c.Version
+	}
+	for _, o := range operators {
+		if o.wentBack {
+			errs = append(errs, errors.New("a version went back"))
+		}
+		for id, v := range o.accepted {
+			if versions[id] != v {
+				errs = append(errs, fmt.Errorf("change %s was accepted as version %d and has version %d", id, v, versions[id]))
+			}
+		}
+		for id, kind := range o.refused {
+			if versions[id] != 0 && kind != galenalatch.KindUnclear {
+				errs = append(errs, fmt.Errorf("change %s was refused with %s and has version %d", id, kind, versions[id]))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -20,9 +20,10 @@
 	// Hang holds calls without effect until it is switched off, and then
 	// closes their connections.
 	Hang bool `json:"hang"`
-	// DelayMillis delays each call. A delayed write takes effect even when
-	// its client has gone.
-	DelayMillis int64 `json:"delayMillis"`
+	// DelayMillis delays each call, WriteDelayMillis only writes. A delayed
+	// write takes effect even when its client has gone.
+	DelayMillis      int64 `json:"delayMillis"`
+	WriteDelayMillis int64 `json:"writeDelayMillis"`
 	// LoseNext is the number of writes whose responses are lost after the
 	// write took effect. LoseShare is the share of further such writes.
 	LoseNext  int     `json:"loseNext"`
@@ -134,14 +135,14 @@
 	if refused {
 		return http.StatusServiceUnavailable
 	}
-	if f.DelayMillis > 0 {
-		gone := r.Context().Done()
-		if c.write() {
-			gone = nil
-		}
+	delay, gone := f.DelayMillis, r.Context().Done()
+	if c.write() {
+		delay, gone = delay+f.WriteDelayMillis, nil
+	}
+	if delay > 0 {
 		select {
 		case <-gone:
-		case <-time.After(time.Duration(f.DelayMillis) * time.Millisecond):
+		case <-time.After(time.Duration(delay) * time.Millisecond):
 		}
 	}
 	return 0
