--- a/runner.go
+++ b/runner.go
@@ -69,6 +69,8 @@
 	Boot    BootID
 	Running int
 	Waiting int
+	// Leaving says that the server has announced that it will stop.
+	Leaving bool
 }
 
 // Reporter reads the load report of a backend server.
