--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,174 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// defaultTokens is the length of an answer to a request without max_tokens.
+const defaultTokens = 16
+
+// request is the part of a chat completions request that the engine uses.
+type request struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	Stream              bool `json:"stream"`
+	MaxTokens           int  `json:"max_tokens"`
+	MaxCompletionTokens int  `json:"max_completion_tokens"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+
+	words []string
+}
+
+func parse(body []byte) (request, error) {
+	var q request
+	if err := json.Unmarshal(body, &q); err != nil {
+		return q, fmt.Errorf("parsing the request: %w", err)
+	}
+	if len(q.Messages) == 0 {
+		return q, errors.New("messages is empty")
+	}
+	for _, m := range q.Messages {
+		var text string
+		var parts []struct {
+			Text string `json:"text"`
+		}
+		if json.Unmarshal(m.Content, &text) == nil {
+			q.words = append(q.words, strings.Fields(text)...)
+		} else if json.Unmarshal(m.Content, &parts) == nil {
+			for _, p := range parts {
+				q.words = append(q.words, strings.Fields(p.Text)...)
+			}
+		}
+	}
+	if q.MaxTokens <= 0 {
+		q.MaxTokens = q.MaxCompletionTokens
+	}
+	if q.MaxTokens <= 0 {
+		q.MaxTokens = defaultTokens
+	}
+	return q, nil
+}
+
+// Answer returns the whole text that the engine generates for a prompt: its
+// words in turn, numbered, one for each token.
+func Answer(prompt string, tokens int) string {
+	q := request{words: strings.Fields(prompt)}
+	var b strings.Builder
+	for i := 1; i <= tokens; i++ {
+		b.WriteString(q.token(i))
+	}
+	return b.String()
+}
+
+func (q request) token(i int) string {
+	word := "empty"
+	if len(q.words) > 0 {
+		word = q.words[(i-1)%len(q.words)]
+	}
+	return fmt.Sprintf("%d:%s ", i, word)
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	Details          struct {
+		Cached int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Delta   *message `json:"delta,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Finish  *string  `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// answer is the deterministic answer to a request.
+type answer struct {
+	request request
+	id      string
+	cached  int
+}
+
+func (a answer) completion(object string, choices ...choice) completion {
+	if choices == nil {
+		choices = []choice{}
+	}
+	return completion{ID: a.id, Object: object, Model: a.request.Model, Choices: choices}
+}
+
+func (a answer) usage() *usage {
+	u := &usage{
+		PromptTokens:     len(a.request.words),
+		CompletionTokens: a.request.MaxTokens,
+		TotalTokens:      len(a.request.words) + a.request.MaxTokens,
+	}
+	u.Details.Cached = a.cached
+	return u
+}
+
+func (a answer) whole() completion {
+	var b strings.Builder
+	for i := 1; i <= a.request.MaxTokens; i++ {
+		b.WriteString(a.request.token(i))
+	}
+	stop := "length"
+	c := a.completion("chat.completion", choice{
+		Message: &message{Role: "assistant", Content: b.String()}, Finish: &stop,
+	})
+	c.Usage = a.usage()
+	return c
+}
+
+// events is the number of events of a stream, without the final [DONE].
+func (a answer) events() int {
+	n := a.request.MaxTokens + 1
+	if a.request.StreamOptions.IncludeUsage {
+		n++
+	}
+	return n
+}
+
+// event returns event i of a stream: the tokens, the reason why the answer
+// ends, and the usage.
+func (a answer) event(i int) completion {
+	const object = "chat.completion.chunk"
+	switch {
+	case i <= a.request.MaxTokens:
+		m := &message{Content: a.request.token(i)}
+		if i == 1 {
+			m.Role = "assistant"
+		}
+		return a.completion(object, choice{Delta: m})
+	case i == a.request.MaxTokens+1:
+		stop := "length"
+		return a.completion(object, choice{Delta: &message{}, Finish: &stop})
+	default:
+		c := a.completion(object)
+		c.Usage = a.usage()
+		return c
+	}
+}
