--- /dev/null
+++ b/internal/backend/engine/client_test.go
@@ -0,0 +1,246 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	standin "github.com/galenalatch/galenalatch/internal/standin/engine"
+	"github.com/galenalatch/galenalatch/internal/standin/process"
+	"gotest.tools/v3/assert"
+)
+
+// recorder keeps the text of an answer.
+type recorder struct {
+	status   int
+	heads    int
+	pieces   int
+	text     strings.Builder
+	progress []galenalatch.Usage
+	onPiece  func() error
+}
+
+func (r *recorder) Head(status int, _ http.Header) error {
+	r.status = status
+	r.heads++
+	return nil
+}
+
+func (r *recorder) Piece(data []byte) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("piece %q: %w", data, err)
+	}
+	r.pieces++
+	for _, x := range c.Choices {
+		r.text.WriteString(x.Delta.Content + x.Message.Content)
+	}
+	if r.onPiece != nil {
+		return r.onPiece()
+	}
+	return nil
+}
+
+func (r *recorder) Progress(u galenalatch.Usage) {
+	r.progress = append(r.progress, u)
+}
+
+// start serves s on a loopback address until the test ends.
+func start(t testing.TB, s *standin.Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g sync.WaitGroup
+	g.Go(func() {
+		if err := s.Serve(ctx, l); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		g.Wait()
+	})
+	return l.Addr().String()
+}
+
+func newClient(t testing.TB) *Client {
+	p := connection.New()
+	t.Cleanup(p.Close)
+	return New(p)
+}
+
+// order asks for tokens numbered words of the prompt.
+func order(address string, boot galenalatch.BootID, id, prompt string, tokens int, stream bool) galenalatch.Order {
+	body := fmt.Sprintf(`{"model":"stub","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":%t,"stream_options":{"include_usage":true}}`,
+		prompt, tokens, stream)
+	return galenalatch.Order{
+		Request: galenalatch.RequestID(id), Address: address, Boot: boot,
+		Method: http.MethodPost, Path: "/v1/chat/completions",
+		Header: http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer x"}},
+		Body:   []byte(body), Repeatable: true, Resumes: true, Epoch: 7,
+	}
+}
+
+// TestAnswers guards against answers that are cut, mixed or miscounted.
+func TestAnswers(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		s := standin.New(standin.Settings{Slots: 4})
+		address := start(t, s)
+		c := newClient(t)
+		var g sync.WaitGroup
+		for i := range 20 {
+			g.Go(func() {
+				prompt := fmt.Sprintf("word%d other%d third", i, i)
+				var r recorder
+				sent := 0
+				o := order(address, s.Boot(), fmt.Sprint(i), prompt, 10+i, stream)
+				o.BeforeSend = func() error { sent++; return nil }
+				u, err := c.Run(t.Context(), o, &r)
+				assert.Check(t, err)
+				assert.Check(t, r.text.String() == standin.Answer(prompt, 10+i), r.text.String())
+				assert.Check(t, r.heads == 1 && r.status == 200 && sent == 1)
+				assert.Check(t, u == galenalatch.Usage{PromptTokens: 3, OutputTokens: int64(10 + i)}, "%+v", u)
+			})
+		}
+		g.Wait()
+		for id, n := range s.Stats().Runs {
+			assert.Equal(t, n, 1, id)
+		}
+	}
+}
+
+// TestCutStreams guards against doubled and lost pieces at every place where
+// a stream can break, and against a silent end when it can't be resumed.
+func TestCutStreams(t *testing.T) {
+	const tokens = 6
+	s := standin.New(standin.Settings{Slots: 2, ResumeWindow: time.Minute})
+	address := start(t, s)
+	c := newClient(t)
+	var whole recorder
+	_, err := c.Run(t.Context(), order(address, s.Boot(), "whole", "a b", tokens, true), &whole)
+	assert.NilError(t, err)
+	for _, resumes := range []bool{true, false} {
+		for _, overlap := range []int{0, 2} {
+			// All 6 tokens, the reason, the usage and [DONE] together
+			// have fewer than 1,600 bytes.
+			for cut := 1; cut < 1600; cut += 7 {
+				s.SetFailures(process.Failures{BreakBytes: cut, BreakTimes: 1, ResumeOverlap: overlap})
+				var r recorder
+				id := fmt.Sprint(resumes, overlap, cut)
+				o := order(address, s.Boot(), id, "a b", tokens, true)
+				o.Resumes = resumes
+				_, err := c.Run(t.Context(), o, &r)
+				switch {
+				case err == nil:
+					assert.Equal(t, r.text.String(), whole.text.String(), id)
+					assert.Equal(t, r.pieces, whole.pieces, id)
+				case r.heads == 0:
+					assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindServerBroke, id)
+					assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.OutcomeUnknown, id)
+				default:
+					assert.Check(t, !resumes, "%s: %v", id, err)
+					assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke, id)
+					assert.Check(t, strings.HasPrefix(whole.text.String(), r.text.String()), id)
+				}
+				assert.Equal(t, s.Stats().Runs[id], 1, id)
+			}
+		}
+	}
+	st := s.Stats()
+	assert.Check(t, st.Resumes > 300, "resumes: %d", st.Resumes)
+}
+
+// TestResumeLimit guards against resuming without end, and against resuming
+// on a successor that does not know the stream.
+func TestResumeLimit(t *testing.T) {
+	s := standin.New(standin.Settings{Slots: 2, ResumeWindow: time.Minute})
+	address := start(t, s)
+	c := newClient(t)
+	s.SetFailures(process.Failures{BreakAfter: 1, BreakTimes: 100})
+	var r recorder
+	_, err := c.Run(t.Context(), order(address, s.Boot(), "1", "a", 9, true), &r)
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+	assert.Equal(t, s.Stats().Resumes, 3)
+	assert.Equal(t, r.pieces, 4)
+
+	s.SetFailures(process.Failures{})
+	r = recorder{onPiece: func() error { s.TurnCold(); return nil }}
+	_, err = c.Run(t.Context(), order(address, s.Boot(), "2", "a", 5000, true), &r)
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+	assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Broken)
+	assert.Equal(t, s.Stats().Runs["2"], 1)
+	assert.Equal(t, s.Stats().Resumes, 3)
+}
+
+// TestCancel guards against an engine that generates for nobody, whether the
+// caller goes away by its context or by an error of the sink.
+func TestCancel(t *testing.T) {
+	for _, byContext := range []bool{true, false} {
+		s := standin.New(standin.Settings{TokenTime: time.Millisecond})
+		address := start(t, s)
+		c := newClient(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var r recorder
+		r.onPiece = func() error {
+			if !byContext {
+				return errors.New("caller went away")
+			}
+			cancel()
+			return nil
+		}
+		u, err := c.Run(ctx, order(address, s.Boot(), "1", "a", 1_000_000, true), &r)
+		cancel()
+		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
+		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Cancelled)
+		assert.Check(t, u.OutputTokens >= 1)
+		// The only slot of the engine is free again.
+		_, err = c.Run(t.Context(), order(address, s.Boot(), "2", "a", 1, true), &recorder{})
+		assert.NilError(t, err)
+		assert.Equal(t, s.Stats().Cancels, 1)
+	}
+}
+
+// TestBeforeSend guards against sending an order that was stopped.
+func TestBeforeSend(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	address := start(t, s)
+	c := newClient(t)
+	stop := galenalatch.KindStaleGrant.Errorf("lease has expired")
+	o := order(address, s.Boot(), "1", "a", 1, true)
+	o.BeforeSend = func() error { return stop }
+	_, err := c.Run(t.Context(), o, &recorder{})
+	assert.Check(t, errors.Is(err, stop))
+	assert.Equal(t, s.Stats().Received["1"], 0)
+}
+
+// TestRefusals guards against passing on the answer of an engine that did not
+// run the request, and against claiming notRun after bytes were written.
+func TestRefusals(t *testing.T) {
+	s := standin.New(standin.Settings{Settings: process.Settings{ChecksFencing: true}})
+	address := start(t, s)
+	c := newClient(t)
+	_, err := c.Run(t.Context(), order(address, s.Boot(), "1", "a", 1, true), &recorder{})
+	assert.NilError(t, err)
+	o := order(address, s.Boot(), "2", "a", 1, true)
+	o.Epoch = 6
+	_, err = c.Run(t.Context(), o, &recorder{})
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStaleGrant)
+	assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.OutcomeUnknown)
+	assert.Equal(t, s.Stats().Runs["2"], 0)
+	var r recorder
+	o = order(address, s.Boot(), "3", "a", 1, true)
+	o.Body = []byte(`{}`)
+	_, err = c.Run(t.Context(), o, &r)
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusBadRequest)
+}
--- /dev/null
+++ b/internal/backend/engine/meter.go
@@ -0,0 +1,89 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// bytesPerToken estimates the tokens of a prompt whose answer has no usage.
+// English text has about 4 bytes a token.
+const bytesPerToken = 4
+
+// meter finds the cost of an answer: the usage that the engine states, or
+// else the number of tokens that were streamed.
+type meter struct {
+	stated  *statedUsage
+	counted galenalatch.Usage
+}
+
+type statedUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+// chunk is the part of an answer that the meter reads.
+type chunk struct {
+	Choices []struct {
+		Text    string `json:"text"`
+		Message part   `json:"message"`
+		Delta   part   `json:"delta"`
+	} `json:"choices"`
+	Usage *statedUsage `json:"usage"`
+}
+
+type part struct {
+	Content   string          `json:"content"`
+	Reasoning string          `json:"reasoning_content"`
+	Tools     json.RawMessage `json:"tool_calls"`
+}
+
+// prompt estimates the prompt from the body of the request.
+func (m *meter) prompt(body []byte) {
+	var q struct {
+		Messages json.RawMessage `json:"messages"`
+	}
+	if json.Unmarshal(body, &q) != nil {
+		return
+	}
+	m.counted.PromptTokens = int64(len(q.Messages)) / bytesPerToken
+}
+
+// event counts one event of a stream. Data that can't be read costs nothing.
+func (m *meter) event(data []byte) {
+	var c chunk
+	if json.Unmarshal(data, &c) != nil {
+		return
+	}
+	if c.Usage != nil {
+		m.stated = c.Usage
+	}
+	for _, x := range c.Choices {
+		if x.Text != "" || x.Delta.Content != "" || x.Delta.Reasoning != "" || len(x.Delta.Tools) > 0 {
+			m.counted.OutputTokens++
+		}
+	}
+}
+
+// body counts an answer that is not streamed.
+func (m *meter) body(data []byte) {
+	var c chunk
+	if json.Unmarshal(data, &c) != nil {
+		return
+	}
+	m.stated = c.Usage
+	for _, x := range c.Choices {
+		m.counted.OutputTokens += int64(len(bytes.Fields([]byte(x.Message.Content))))
+	}
+}
+
+func (m *meter) usage() galenalatch.Usage {
+	if m.stated != nil {
+		return galenalatch.Usage{
+			PromptTokens: max(0, m.stated.PromptTokens),
+			OutputTokens: max(0, m.stated.CompletionTokens),
+		}
+	}
+	return m.counted
+}
