--- /dev/null
+++ b/internal/caller/openai/chat.go
@@ -0,0 +1,262 @@
+package openai
+
+import (
+	"encoding/json"
+	"mime"
+	"net/http"
+	"strings"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// Bounds of the fields that the router reads. The engine checks the others.
+const (
+	maxModel    = 128
+	maxMessages = 10_000
+	maxTokens   = 10_000_000
+	maxChoices  = 128
+)
+
+// bytesPerToken is the usual mean for English text. The estimate needs no
+// more: the charge is settled to the true cost at the end.
+const bytesPerToken = 4
+
+var roles = []string{"system", "developer", "user", "assistant", "tool", "function"}
+
+// chat is a chat completion request. Fields that the router does not know
+// are passed on unchanged.
+type chat struct {
+	fields     map[string]json.RawMessage
+	options    map[string]json.RawMessage
+	model      string
+	stream     bool
+	wantsUsage bool
+	// prompt is the length of the prompt in bytes.
+	prompt  int64
+	tokens  int64
+	choices int64
+}
+
+// parse checks a request. Errors are of KindBadRequest and name the field,
+// the value and what is allowed.
+func parse(header http.Header, data []byte) (*chat, error) {
+	if v := header.Get("Content-Type"); v != "" {
+		if t, _, err := mime.ParseMediaType(v); err != nil || t != "application/json" {
+			return nil, galenalatch.KindBadRequest.Errorf("header Content-Type: %.60q is not allowed; allowed: application/json", v)
+		}
+	}
+	if v := header.Get("Content-Encoding"); v != "" && v != "identity" {
+		return nil, galenalatch.KindBadRequest.Errorf("header Content-Encoding: %.60q is not allowed; allowed: identity", v)
+	}
+	c := &chat{choices: 1}
+	if err := json.Unmarshal(data, &c.fields); err != nil || c.fields == nil {
+		if err == nil {
+			return nil, galenalatch.KindBadRequest.Errorf("the body is null; allowed: a JSON object")
+		}
+		return nil, galenalatch.KindBadRequest.Errorf("the body is not a JSON object: %s", strings.TrimPrefix(err.Error(), "json: "))
+	}
+	for _, check := range []func() error{c.readModel, c.readMessages, c.readStream, c.readTokens, c.readSampling} {
+		if err := check(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// field decodes a field into v. It reports whether the field is present and
+// not null.
+func (c *chat) field(name string, v any, allowed string) (bool, error) {
+	raw, ok := c.fields[name]
+	if !ok || string(raw) == "null" {
+		return false, nil
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return false, bad(name, raw, allowed)
+	}
+	return true, nil
+}
+
+func bad(name string, raw json.RawMessage, allowed string) error {
+	return galenalatch.KindBadRequest.Errorf("%s: %s is not allowed; allowed: %s", name, shown(raw), allowed)
+}
+
+// shown returns a short value as it is, and only the type of others, which
+// may hold parts of the conversation.
+func shown(raw json.RawMessage) string {
+	switch {
+	case len(raw) == 0:
+		return "a missing field"
+	case len(raw) <= 40 && raw[0] != '{' && raw[0] != '[':
+		return string(raw)
+	case raw[0] == '{':
+		return "an object"
+	case raw[0] == '[':
+		return "an array"
+	case raw[0] == '"':
+		return "a long string"
+	}
+	return "a long number"
+}
+
+func (c *chat) readModel() error {
+	allowed := "a string of 1 to 128 characters"
+	if _, err := c.field("model", &c.model, allowed); err != nil {
+		return err
+	}
+	if c.model == "" || len(c.model) > maxModel {
+		return bad("model", c.fields["model"], allowed)
+	}
+	return nil
+}
+
+func (c *chat) readMessages() error {
+	allowed := "an array of 1 to 10000 objects with role and content"
+	var messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if _, err := c.field("messages", &messages, allowed); err != nil {
+		return err
+	}
+	if len(messages) == 0 || len(messages) > maxMessages {
+		return bad("messages", c.fields["messages"], allowed)
+	}
+	for i, m := range messages {
+		known := false
+		for _, r := range roles {
+			known = known || r == m.Role
+		}
+		if !known {
+			return galenalatch.KindBadRequest.Errorf("messages[%d].role: %.40q is not allowed; allowed: %s", i, m.Role, strings.Join(roles, ", "))
+		}
+		n, ok := textLength(m.Content)
+		if !ok {
+			return galenalatch.KindBadRequest.Errorf("messages[%d].content: %s is not allowed; allowed: a string, an array of parts or null", i, shown(m.Content))
+		}
+		c.prompt += n
+	}
+	c.prompt += int64(len(c.fields["tools"]))
+	return nil
+}
+
+// textLength returns the bytes of text in the content of a message.
+func textLength(content json.RawMessage) (int64, bool) {
+	if len(content) == 0 || string(content) == "null" {
+		return 0, true
+	}
+	var text string
+	if json.Unmarshal(content, &text) == nil {
+		return int64(len(text)), true
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(content, &parts) != nil {
+		return 0, false
+	}
+	var n int64
+	for _, p := range parts {
+		n += int64(len(p.Text))
+	}
+	return n, true
+}
+
+func (c *chat) readStream() error {
+	if _, err := c.field("stream", &c.stream, "true or false"); err != nil {
+		return err
+	}
+	given, err := c.field("stream_options", &c.options, "an object")
+	if err != nil {
+		return err
+	}
+	if given && !c.stream {
+		return bad("stream_options", c.fields["stream_options"], "only together with stream true")
+	}
+	if raw, ok := c.options["include_usage"]; ok && string(raw) != "null" {
+		if json.Unmarshal(raw, &c.wantsUsage) != nil {
+			return bad("stream_options.include_usage", raw, "true or false")
+		}
+	}
+	return nil
+}
+
+func (c *chat) readTokens() error {
+	for _, f := range []struct {
+		name   string
+		value  *int64
+		most   int64
+		ranged string
+	}{
+		{"max_tokens", &c.tokens, maxTokens, "an integer from 1 to 10000000"},
+		{"max_completion_tokens", &c.tokens, maxTokens, "an integer from 1 to 10000000"},
+		{"n", &c.choices, maxChoices, "an integer from 1 to 128"},
+	} {
+		given, err := c.field(f.name, f.value, f.ranged)
+		if err != nil {
+			return err
+		}
+		if given && (*f.value < 1 || *f.value > f.most) {
+			return bad(f.name, c.fields[f.name], f.ranged)
+		}
+	}
+	return nil
+}
+
+func (c *chat) readSampling() error {
+	for _, f := range []struct {
+		name      string
+		low, high float64
+		ranged    string
+	}{
+		{"temperature", 0, 2, "a number from 0 to 2"},
+		{"top_p", 0, 1, "a number from 0 to 1"},
+		{"frequency_penalty", -2, 2, "a number from -2 to 2"},
+		{"presence_penalty", -2, 2, "a number from -2 to 2"},
+	} {
+		var v float64
+		given, err := c.field(f.name, &v, f.ranged)
+		if err != nil {
+			return err
+		}
+		if given && (v < f.low || v > f.high) {
+			return bad(f.name, c.fields[f.name], f.ranged)
+		}
+	}
+	return nil
+}
+
+// estimate returns the expected cost in service units, or 0 when the caller
+// gave no bound of the output: the prompt alone is no estimate.
+func (c *chat) estimate(p galenalatch.Pool) int64 {
+	if c.tokens == 0 {
+		return 0
+	}
+	u := galenalatch.Usage{
+		PromptTokens: (c.prompt + bytesPerToken - 1) / bytesPerToken,
+		OutputTokens: c.tokens * c.choices,
+	}
+	return max(1, min(u.Units(p), p.MaxCost))
+}
+
+// encode returns the request for the engine. It is encoded anew, so that
+// the engine reads the same fields as the router did, and a stream always
+// asks for the usage, which the charge needs.
+func (c *chat) encode() ([]byte, error) {
+	if c.stream {
+		options := map[string]json.RawMessage{}
+		for k, v := range c.options {
+			options[k] = v
+		}
+		options["include_usage"] = json.RawMessage("true")
+		raw, err := json.Marshal(options)
+		if err != nil {
+			return nil, galenalatch.KindInternal.Errorf("encode stream_options: %w", err)
+		}
+		c.fields["stream_options"] = raw
+	}
+	data, err := json.Marshal(c.fields)
+	if err != nil {
+		return nil, galenalatch.KindInternal.Errorf("encode the request: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/config/settings/settings.go
@@ -0,0 +1,186 @@
+// Package settings holds the settings of a router process: a JSON document
+// with camel-case names, read once at the start.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/config/check"
+	"github.com/galenalatch/galenalatch/internal/config/duration"
+	"github.com/galenalatch/galenalatch/internal/config/secret"
+	"github.com/galenalatch/galenalatch/internal/config/strict"
+)
+
+// maxFaults bounds the faults that one error lists.
+const maxFaults = 20
+
+// Settings are the settings of one router process. Secrets are referred to,
+// never contained, so settings can be printed.
+type Settings struct {
+	// ID is the router's name in the platform's instance list.
+	ID         galenalatch.RouterID   `json:"id" validate:"required,max=64,printascii"`
+	DataCentre galenalatch.DataCentre `json:"dataCentre" validate:"required,max=64,printascii"`
+
+	// Listen holds the addresses to listen on. Equal addresses share one
+	// listener.
+	Listen struct {
+		Caller   string `json:"caller" validate:"required,addrport"`
+		Peer     string `json:"peer" validate:"required,addrport"`
+		Operator string `json:"operator" validate:"required,addrport"`
+	} `json:"listen"`
+
+	// Platform is the table service, object store and instance list.
+	Platform struct {
+		Address string        `json:"address" validate:"required,http_url,max=1024"`
+		Token   secret.Secret `json:"token"`
+	} `json:"platform"`
+
+	// Tokens authenticate other routers and operators.
+	Tokens struct {
+		Peer     secret.Secret `json:"peer"`
+		Operator secret.Secret `json:"operator"`
+	} `json:"tokens"`
+
+	// Lease holds the times of the cell leases. All routers of a fleet must
+	// use the same values: a candidate waits for Duration and Margin of its
+	// own settings.
+	Lease struct {
+		Duration duration.Duration `json:"duration" validate:"between=1s:60s"`
+		Renew    duration.Duration `json:"renew" validate:"between=100ms:20s"`
+		Margin   duration.Duration `json:"margin" validate:"between=50ms:10s"`
+	} `json:"lease"`
+
+	Drain struct {
+		// Delay is how long new requests are served after /readyz fails. It
+		// must be longer than the load balancer's lag.
+		Delay duration.Duration `json:"delay" validate:"between=0s:5m"`
+		// Limit is how long running requests may take to finish after that.
+		Limit duration.Duration `json:"limit" validate:"between=1s:24h"`
+	} `json:"drain"`
+
+	Log struct {
+		Level  string `json:"level" validate:"oneof=debug info warn error"`
+		Format string `json:"format" validate:"oneof=text json logfmt"`
+	} `json:"log"`
+
+	Limits struct {
+		// HeaderBytes and BodyBytes bound a caller's request.
+		HeaderBytes int   `json:"headerBytes" validate:"min=1024,max=1048576"`
+		BodyBytes   int64 `json:"bodyBytes" validate:"min=1024,max=67108864"`
+		// MessageBytes bounds a control message between routers.
+		MessageBytes int64 `json:"messageBytes" validate:"min=4096,max=16777216"`
+		// ConnectionsPerWorkspace bounds the requests of one workspace that
+		// this router holds at once.
+		ConnectionsPerWorkspace int `json:"connectionsPerWorkspace" validate:"min=1,max=100000"`
+	} `json:"limits"`
+}
+
+// Default returns the values of fields that a document leaves out. Fields
+// without a default are empty.
+func Default() Settings {
+	var s Settings
+	s.Listen.Caller = "0.0.0.0:8080"
+	s.Listen.Peer = "0.0.0.0:8081"
+	s.Listen.Operator = "0.0.0.0:8082"
+	s.Lease.Duration = duration.Duration(4 * time.Second)
+	s.Lease.Renew = duration.Duration(1400 * time.Millisecond)
+	s.Lease.Margin = duration.Duration(500 * time.Millisecond)
+	s.Drain.Delay = duration.Duration(10 * time.Second)
+	s.Drain.Limit = duration.Duration(time.Hour)
+	s.Log.Level = "info"
+	s.Log.Format = "logfmt"
+	s.Limits.HeaderBytes = 16 << 10
+	s.Limits.BodyBytes = 4 << 20
+	s.Limits.MessageBytes = 256 << 10
+	s.Limits.ConnectionsPerWorkspace = 512
+	return s
+}
+
+// Load reads and checks the document in the file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks a document.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	if err := strict.Decode(data, &s); err != nil {
+		return Settings{}, err
+	}
+	if err := s.Check(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+var checker = check.New()
+
+// Check returns an error that lists the faults of s, each with its field,
+// its value and what is allowed.
+func (s Settings) Check() error {
+	faults := checker.Faults(s, maxFaults)
+	if len(faults) == 0 {
+		faults = append(s.listenFaults(), s.leaseFaults()...)
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(faults, "\n"))
+}
+
+// listenFaults finds addresses that differ but cannot be bound together.
+func (s Settings) listenFaults() []string {
+	type named struct{ name, address string }
+	list := []named{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.peer", s.Listen.Peer},
+		{"listen.operator", s.Listen.Operator},
+	}
+	var faults []string
+	for i, a := range list {
+		for _, b := range list[:i] {
+			p, q := netip.MustParseAddrPort(a.address), netip.MustParseAddrPort(b.address)
+			overlap := p.Addr().IsUnspecified() || q.Addr().IsUnspecified()
+			if p != q && p.Port() == q.Port() && p.Port() != 0 && overlap {
+				faults = append(faults, fmt.Sprintf("%s: %q overlaps with %s %q; allowed: the same address or another port",
+					a.name, a.address, b.name, b.address))
+			}
+		}
+	}
+	return faults
+}
+
+// leaseFaults requires time for two renewals before the lease ends, so that
+// one lost write does not end a lease.
+func (s Settings) leaseFaults() []string {
+	most := (s.Lease.Duration - s.Lease.Margin) / 2
+	if s.Lease.Renew <= most {
+		return nil
+	}
+	return []string{fmt.Sprintf("lease.renew: %v is not allowed; allowed: at most half of duration minus margin, %v",
+		s.Lease.Renew, most)}
+}
+
+// String returns the settings as an indented JSON document.
+func (s Settings) String() string {
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
