--- a/internal/caller/reply/writer.go
+++ b/internal/caller/reply/writer.go
@@ -85,6 +85,7 @@
 	if w.hold {
 		return nil
 	}
+	w.extend()
 	w.w.WriteHeader(status)
 	return w.flush()
 }
@@ -111,8 +112,7 @@
 		w.held.Write(data)
 		return nil
 	}
-	// Writers without deadlines, such as recorders, do not block.
-	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.extend()
 	if _, err := w.w.Write(data); err != nil {
 		return galenalatch.KindCallerGone.Errorf("write the answer: %w", err)
 	}
@@ -135,6 +135,9 @@
 // End completes the answer after all of it was sent. A stream ends with
 // [DONE] when done is set.
 func (w *Writer) End(done bool) error {
+	// The server writes the end of a body after the handler has returned,
+	// maybe long after the last piece.
+	w.extend()
 	switch {
 	case w.hold:
 		w.hold = false
@@ -186,12 +189,19 @@
 		h.Set("WWW-Authenticate", "Bearer")
 	}
 	data := append(body(err, w.id), '\n')
+	w.extend()
 	h.Set("Content-Length", strconv.Itoa(len(data)))
 	w.w.WriteHeader(reply.Status)
 	// A write error means that the caller is gone and cannot be told.
 	_, _ = w.w.Write(data)
 }
 
+// extend moves the deadline of writes. Writers without deadlines, such as
+// recorders, do not block.
+func (w *Writer) extend() {
+	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 func (w *Writer) flush() error {
 	if err := w.control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return galenalatch.KindCallerGone.Errorf("flush the answer: %w", err)
--- /dev/null
+++ b/internal/operator/status/status.go
@@ -0,0 +1,51 @@
+// Package status describes the state of one router for operators and for the
+// metrics.
+package status
+
+import "github.com/galenalatch/galenalatch"
+
+// Status is the state of a router at one moment. Only what this router knows
+// itself is in it: a complete picture needs the status of all routers.
+type Status struct {
+	Router     galenalatch.RouterID   `json:"router"`
+	Start      string                 `json:"start"`
+	DataCentre galenalatch.DataCentre `json:"dataCentre"`
+	Version    galenalatch.Version    `json:"version"`
+	Fresh      bool                   `json:"fresh"`
+	Ready      bool                   `json:"ready"`
+	Draining   bool                   `json:"draining"`
+	// Held is the catalogue version that each listed router is known to hold.
+	Held  map[galenalatch.RouterID]galenalatch.Version `json:"held"`
+	Cells []Cell                                       `json:"cells"`
+	// Servers are the backend servers of the cells that this router holds.
+	Servers []Server `json:"servers"`
+	// Waiting counts the requests that this router holds as an entry and
+	// that have no grant yet, by workspace; Running those that have one.
+	Waiting map[galenalatch.WorkspaceName]int `json:"waiting"`
+	Running map[galenalatch.WorkspaceName]int `json:"running"`
+	// PeerBytesIn and PeerBytesOut count the bytes of control messages on
+	// the connections to other routers since the start.
+	PeerBytesIn  uint64 `json:"peerBytesIn"`
+	PeerBytesOut uint64 `json:"peerBytesOut"`
+}
+
+// Cell is a cell that the router holds.
+type Cell struct {
+	Cell  galenalatch.CellID `json:"cell"`
+	Epoch galenalatch.Epoch  `json:"epoch"`
+	// Lapsed says that the lease could not be renewed.
+	Lapsed  bool `json:"lapsed"`
+	Waiting int  `json:"waiting"`
+	Running int  `json:"running"`
+}
+
+// Server is the dispatcher's view of a backend server.
+type Server struct {
+	Server     galenalatch.ServerID   `json:"server"`
+	Pool       galenalatch.PoolName   `json:"pool"`
+	DataCentre galenalatch.DataCentre `json:"dataCentre"`
+	// State is cold, warming, warm, suspect, leaving or out.
+	State   string `json:"state"`
+	Limit   int    `json:"limit"`
+	Running int    `json:"running"`
+}
