--- /dev/null
+++ b/internal/telemetry/events/log.go
@@ -0,0 +1,94 @@
+// Package events logs numbered events. The numbers, levels and messages are
+// a closed table, so that operators can alert on numbers and look each one
+// up in docs/events.md.
+package events
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Number identifies an event.
+type Number int
+
+// Log writes events. It is safe for concurrent use.
+type Log struct {
+	logger *log.Logger
+}
+
+// New returns a log that writes to w. The level is debug, info, warn or
+// error, the format text, json or logfmt.
+func New(w io.Writer, level, format string) (*Log, error) {
+	l, err := log.ParseLevel(level)
+	if err != nil || l == log.FatalLevel {
+		return nil, fmt.Errorf("log level: %q is not allowed; allowed: debug, info, warn, error", level)
+	}
+	formatters := map[string]log.Formatter{"text": log.TextFormatter, "json": log.JSONFormatter, "logfmt": log.LogfmtFormatter}
+	f, ok := formatters[format]
+	if !ok {
+		return nil, fmt.Errorf("log format: %q is not allowed; allowed: text, json, logfmt", format)
+	}
+	return &Log{logger: log.NewWithOptions(w, log.Options{
+		Level:           l,
+		Formatter:       f,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		TimeFunction:    log.NowUTC,
+	})}, nil
+}
+
+// With returns a log that adds the pairs of keys and values to each event.
+func (l *Log) With(pairs ...any) *Log {
+	return &Log{logger: l.logger.With(safe(pairs)...)}
+}
+
+// Event logs the event n with pairs of keys and values.
+func (l *Log) Event(n Number, pairs ...any) {
+	e, ok := table[n]
+	if !ok {
+		e = event{level: log.ErrorLevel, message: "unknown event number"}
+	}
+	l.logger.Log(e.level, e.message, append([]any{"event", int(n)}, safe(pairs)...)...)
+}
+
+// secrets are keys whose values are never logged.
+var secrets = []string{"authorization", "token", "secret", "password", "bearer", "cookie", "apikey", "idempotencykey"}
+
+// safe returns the pairs without secrets. Values are shortened, since some
+// come from callers.
+func safe(pairs []any) []any {
+	pairs = slices.Clone(pairs)
+	if len(pairs)%2 == 1 {
+		pairs = append(pairs, "missing")
+	}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		k := strings.ToLower(strings.NewReplacer("-", "", "_", "", ".", "").Replace(fmt.Sprint(pairs[i])))
+		if slices.ContainsFunc(secrets, func(s string) bool { return strings.Contains(k, s) }) {
+			pairs[i+1] = "redacted"
+			continue
+		}
+		switch v := pairs[i+1].(type) {
+		case string:
+			pairs[i+1] = clip(v)
+		case error:
+			pairs[i+1] = clip(v.Error())
+		}
+	}
+	return pairs
+}
+
+// maxValue bounds the length of a logged value.
+const maxValue = 512
+
+func clip(s string) string {
+	s = strings.ToValidUTF8(s, "?")
+	if len(s) <= maxValue {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxValue], "") + "..."
+}
