Add the operators' API

Changes are answered when more than half of the listed routers hold them, or as pending after a bounded wait.

--- /dev/null
+++ b/internal/operator/api/handler.go
@@ -0,0 +1,207 @@
+// Package api serves the operators' API: JSON over HTTP below /operator/v1/.
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/caller/body"
+	"github.com/galenalatch/galenalatch/internal/config/strict"
+	"github.com/galenalatch/galenalatch/internal/operator/message"
+	"github.com/galenalatch/galenalatch/internal/operator/status"
+)
+
+// Store keeps the catalogue. After an error of KindConflict, Current returns
+// the version that won.
+type Store interface {
+	Apply(ctx context.Context, base galenalatch.Version, ch galenalatch.Change) (galenalatch.Version, error)
+	Current() galenalatch.Catalogue
+	History(ctx context.Context, n int) ([]galenalatch.Change, error)
+}
+
+// Fleet tells what the router knows about the fleet.
+type Fleet struct {
+	Status func() status.Status
+	// Accepted returns how many of the listed routers hold the version v.
+	Accepted func(v galenalatch.Version) (held, total int)
+	// Instances returns the instance list as last read.
+	Instances func() []galenalatch.Instance
+}
+
+// Handler serves the operators' API.
+type Handler struct {
+	store     Store
+	fleet     Fleet
+	diff      func(from, to galenalatch.Catalogue) galenalatch.Change
+	authorize func(*http.Request) error
+	observe   func(ch galenalatch.Change, r message.Result, err error)
+	wait      time.Duration
+	poll      time.Duration
+	reader    body.Reader
+	mux       *http.ServeMux
+}
+
+// Option changes a handler.
+type Option func(*Handler)
+
+// WithWait bounds the time that an answer waits for a change to be held by
+// more than half of the routers. The default is 5 s.
+func WithWait(d time.Duration) Option {
+	return func(h *Handler) { h.wait = d }
+}
+
+// WithObserver calls observe at the end of each request for a change, and
+// with an empty change after a request without a valid token.
+func WithObserver(observe func(ch galenalatch.Change, r message.Result, err error)) Option {
+	return func(h *Handler) { h.observe = observe }
+}
+
+// New returns a handler. The function diff is galenalatch.Diff; authorize
+// checks the operator's token.
+func New(s Store, f Fleet, diff func(from, to galenalatch.Catalogue) galenalatch.Change,
+	authorize func(*http.Request) error, options ...Option) *Handler {
+	h := &Handler{
+		store:     s,
+		fleet:     f,
+		diff:      diff,
+		authorize: authorize,
+		observe:   func(galenalatch.Change, message.Result, error) {},
+		wait:      5 * time.Second,
+		poll:      50 * time.Millisecond,
+		reader:    body.Reader{Limit: 32 << 20, Timeout: 30 * time.Second},
+		mux:       http.NewServeMux(),
+	}
+	for _, o := range options {
+		o(h)
+	}
+	h.handle("GET "+message.CataloguePath, h.catalogue)
+	h.handle("POST "+message.ChangesPath, h.apply)
+	h.handle("GET "+message.ChangesPath, h.history)
+	h.handle("POST "+message.DiffPath, h.difference)
+	h.handle("GET "+message.StatusPath, h.status)
+	h.handle("POST "+message.DataCentres+"{name}/{way}", h.dataCentre)
+	h.handle("POST "+message.Servers+"{name}/{way}", h.server)
+	h.handle("/", func(_ http.ResponseWriter, r *http.Request) (any, error) {
+		return nil, galenalatch.KindNotFound.Errorf("%.8s %.80q is not served; see docs/operations.md for the operators' API", r.Method, r.URL.Path)
+	})
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if err := h.authorize(r); err != nil {
+		h.observe(galenalatch.Change{}, message.Result{}, err)
+		h.fail(w, err)
+		return
+	}
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) handle(pattern string, f func(http.ResponseWriter, *http.Request) (any, error)) {
+	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		v, err := f(w, r)
+		if err != nil {
+			h.fail(w, err)
+			return
+		}
+		code := http.StatusOK
+		if res, ok := v.(message.Result); ok && res.State == message.Pending {
+			code = http.StatusAccepted
+		}
+		write(w, code, v)
+	})
+}
+
+func (h *Handler) fail(w http.ResponseWriter, err error) {
+	kind := galenalatch.KindOf(err)
+	reply := kind.Reply()
+	var f message.Failure
+	f.Error.Kind = kind
+	f.Error.Outcome = galenalatch.OutcomeOf(err)
+	f.Error.Message = err.Error()
+	if e := (*galenalatch.Error)(nil); errors.As(err, &e) {
+		f.Error.Message = e.Err.Error()
+	}
+	if kind == galenalatch.KindConflict {
+		f.Error.Current = h.store.Current().Version
+	}
+	w.Header().Set("X-Outcome", string(f.Error.Outcome))
+	if reply.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(reply.RetryAfter.Seconds()))))
+	}
+	write(w, reply.Status, f)
+}
+
+func write(w http.ResponseWriter, code int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, "encode the answer: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
+	w.WriteHeader(code)
+	// A write error means that the operator is gone and cannot be told.
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// decode reads the request's body into v.
+func (h *Handler) decode(w http.ResponseWriter, r *http.Request, v any) error {
+	data, err := h.reader.Read(w, r)
+	if err != nil {
+		return err
+	}
+	if err := strict.Decode(data, v); err != nil {
+		return galenalatch.KindBadRequest.Errorf("body: %w", err)
+	}
+	return nil
+}
+
+func (h *Handler) catalogue(http.ResponseWriter, *http.Request) (any, error) {
+	return h.store.Current(), nil
+}
+
+func (h *Handler) status(http.ResponseWriter, *http.Request) (any, error) {
+	return h.fleet.Status(), nil
+}
+
+// maxHistory bounds the changes of one answer.
+const maxHistory = 1000
+
+func (h *Handler) history(_ http.ResponseWriter, r *http.Request) (any, error) {
+	n := 20
+	if v := r.URL.Query().Get("n"); v != "" {
+		var err error
+		if n, err = strconv.Atoi(v); err != nil || n < 1 || n > maxHistory {
+			return nil, galenalatch.KindBadRequest.Errorf("n: %.20q is not allowed; allowed: 1 to %d", v, maxHistory)
+		}
+	}
+	changes, err := h.store.History(r.Context(), n)
+	if err != nil {
+		return nil, err
+	}
+	if changes == nil {
+		changes = []galenalatch.Change{}
+	}
+	return message.History{Changes: changes}, nil
+}
+
+// difference returns the change that turns the current catalogue into the
+// one in the body. Its version is the base for applying it.
+func (h *Handler) difference(w http.ResponseWriter, r *http.Request) (any, error) {
+	var target galenalatch.Catalogue
+	if err := h.decode(w, r, &target); err != nil {
+		return nil, err
+	}
+	current := h.store.Current()
+	ch := h.diff(current, target.WithVersion(current.Version))
+	base := current.Version
+	return message.Apply{Base: &base, Change: ch}, nil
+}
--- a/internal/telemetry/events/log.go
+++ b/internal/telemetry/events/log.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"io"
+	"reflect"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,7 +35,7 @@
 	if !ok {
 		return nil, fmt.Errorf("log format: %q is not allowed; allowed: text, json, logfmt", format)
 	}
-	return &Log{logger: log.NewWithOptions(w, log.Options{
+	return &Log{logger: log.NewWithOptions(&locked{w: w}, log.Options{
 		Level:           l,
 		Formatter:       f,
 		ReportTimestamp: true,
@@ -42,6 +44,20 @@
 	})}, nil
 }
 
+// locked makes the loggers that With returns write one at a time. Each of
+// them has a lock of its own.
+type locked struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write implements io.Writer.
+func (l *locked) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(data)
+}
+
 // With returns a log that adds the pairs of keys and values to each event.
 func (l *Log) With(pairs ...any) *Log {
 	return &Log{logger: l.logger.With(safe(pairs)...)}
@@ -72,16 +88,29 @@
 			pairs[i+1] = "redacted"
 			continue
 		}
-		switch v := pairs[i+1].(type) {
-		case string:
-			pairs[i+1] = clip(v)
-		case error:
-			pairs[i+1] = clip(v.Error())
-		}
+		pairs[i+1] = scalar(pairs[i+1])
 	}
 	return pairs
 }
 
+// scalar returns a value that can be logged. Maps, structs and lists are not
+// logged: a header or a request in a log line would carry secrets.
+func scalar(v any) any {
+	switch x := v.(type) {
+	case error:
+		return clip(x.Error())
+	case fmt.Stringer:
+		return clip(x.String())
+	}
+	switch r := reflect.ValueOf(v); {
+	case r.Kind() == reflect.String:
+		return clip(r.String())
+	case r.CanInt(), r.CanUint(), r.CanFloat(), r.Kind() == reflect.Bool:
+		return v
+	}
+	return fmt.Sprintf("value of type %T", v)
+}
+
 // maxValue bounds the length of a logged value.
 const maxValue = 512
 
