--- a/internal/config/check/checker.go
+++ b/internal/config/check/checker.go
@@ -56,21 +56,21 @@
 	}
 }
 
-// Faults returns the faults of the struct v, at most limit of them.
-func (c *Checker) Faults(v any, limit int) []string {
+// Faults returns the first faults of the struct v, at most limit, and the
+// number of all faults.
+func (c *Checker) Faults(v any, limit int) (faults []string, total int) {
 	err := c.validate.Struct(v)
 	if err == nil {
-		return nil
+		return nil, 0
 	}
 	list, ok := err.(validator.ValidationErrors)
 	if !ok {
-		return []string{err.Error()}
+		return []string{err.Error()}, 1
 	}
-	var faults []string
 	for _, f := range list[:min(limit, len(list))] {
 		faults = append(faults, c.fault(reflect.TypeOf(v), f))
 	}
-	return faults
+	return faults, len(list)
 }
 
 func (c *Checker) fault(t reflect.Type, f validator.FieldError) string {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -133,7 +133,7 @@
 // Check returns an error that lists the faults of s, each with its field,
 // its value and what is allowed.
 func (s Settings) Check() error {
-	faults := checker.Faults(s, maxFaults)
+	faults, _ := checker.Faults(s, maxFaults)
 	if len(faults) == 0 {
 		faults = append(s.listenFaults(), s.leaseFaults()...)
 	}
