--- /dev/null
+++ b/internal/peer/wire/codec_test.go
@@ -0,0 +1,215 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// samples returns each message of the closed list with all fields set.
+func samples(t testing.TB) []galenalatch.Message {
+	var list []galenalatch.Message
+	for _, name := range slices.Sorted(maps.Keys(decoders)) {
+		m, err := decoders[name](newCodec(t).dec, []byte{0xa0})
+		assert.NilError(t, err)
+		v := reflect.New(reflect.TypeOf(m)).Elem()
+		n := 0
+		fill(v, &n)
+		list = append(list, v.Interface().(galenalatch.Message))
+	}
+	return list
+}
+
+func fill(v reflect.Value, n *int) {
+	*n++
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(fmt.Sprint("s", *n))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(*n) * 100)
+	case reflect.Uint8, reflect.Uint64:
+		v.SetUint(uint64(*n))
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), n)
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		for i := range 2 {
+			fill(v.Index(i), n)
+		}
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		for range 2 {
+			k, e := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+			fill(k, n)
+			fill(e, n)
+			v.SetMapIndex(k, e)
+		}
+	}
+}
+
+func newCodec(t testing.TB) *Codec {
+	c, err := New()
+	assert.NilError(t, err)
+	return c
+}
+
+// Guards against a change of the encoding that other versions cannot read.
+func TestGolden(t *testing.T) {
+	c := newCodec(t)
+	var out strings.Builder
+	for _, m := range samples(t) {
+		b, err := c.Encode(m)
+		assert.NilError(t, err)
+		d, err := cbor.Diagnose(b)
+		assert.NilError(t, err)
+		fmt.Fprintf(&out, "%s\n%s\n", d, hex.EncodeToString(b))
+		back, err := c.Decode(b)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, m)
+	}
+	golden.Assert(t, out.String(), "messages.golden")
+}
+
+// Guards against values that the codec changes or does not read back, and
+// against two encodings of one message.
+func TestRoundTrip(t *testing.T) {
+	c := newCodec(t)
+	var kinds []*rapid.Generator[galenalatch.Message]
+	add := func(g *rapid.Generator[galenalatch.Message]) { kinds = append(kinds, g) }
+	add(boxed[galenalatch.Hello]())
+	add(boxed[galenalatch.GossipAsk]())
+	add(boxed[galenalatch.Changes]())
+	add(boxed[galenalatch.Report]())
+	add(boxed[galenalatch.Progress]())
+	add(boxed[galenalatch.Finish]())
+	add(boxed[galenalatch.Grant]())
+	add(boxed[galenalatch.Handover]())
+	rapid.Check(t, func(t *rapid.T) {
+		messages := rapid.SliceOfN(rapid.OneOf(kinds...), 0, 40).Draw(t, "messages")
+		var envelopes [][]byte
+		for _, m := range messages {
+			b, err := c.Encode(m)
+			assert.NilError(t, err)
+			envelopes = append(envelopes, b)
+		}
+		back, err := c.DecodeFrame(c.AppendFrame(nil, envelopes))
+		assert.NilError(t, err)
+		assert.Equal(t, len(back), len(messages))
+		for i, m := range back {
+			b, err := c.Encode(m)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(b, envelopes[i]))
+			assert.Equal(t, reflect.TypeOf(m), reflect.TypeOf(messages[i]))
+		}
+	})
+}
+
+func boxed[T galenalatch.Message]() *rapid.Generator[galenalatch.Message] {
+	return rapid.Map(rapid.Make[T](), func(m T) galenalatch.Message { return m })
+}
+
+// Guards against frames whose count of messages has a longer head.
+func TestFrameHeads(t *testing.T) {
+	c := newCodec(t)
+	b, err := c.Encode(galenalatch.ChangesAsk{After: 1})
+	assert.NilError(t, err)
+	for _, n := range []int{0, 1, 23, 24, 255, 256, 5000} {
+		m, err := c.DecodeFrame(c.AppendFrame(nil, slices.Repeat([][]byte{b}, n)))
+		assert.NilError(t, err)
+		assert.Equal(t, len(m), n)
+	}
+}
+
+// Guards against input that is accepted although it is not exactly a message.
+func TestRejected(t *testing.T) {
+	c := newCodec(t)
+	deep := bytes.Repeat([]byte{0x81}, 20)
+	for _, r := range []struct {
+		name  string
+		frame []byte
+		kind  galenalatch.Kind
+	}{
+		{"empty", nil, galenalatch.KindBadRequest},
+		{"no array", one("a0"), galenalatch.KindBadRequest},
+		{"unknown type", one("8182" + text("other") + "a0"), galenalatch.KindBadRequest},
+		{"type of wrong kind", one("818201a0"), galenalatch.KindBadRequest},
+		{"unknown field", one("8182" + text("changesAsk") + "a1" + text("other") + "01"), galenalatch.KindBadRequest},
+		{"other case", one("8182" + text("changesAsk") + "a1" + text("After") + "01"), galenalatch.KindBadRequest},
+		{"wrong type of field", one("8182" + text("changesAsk") + "a1" + text("after") + "6131"), galenalatch.KindBadRequest},
+		{"negative version", one("8182" + text("changesAsk") + "a1" + text("after") + "20"), galenalatch.KindBadRequest},
+		{"null field", one("8182" + text("changesAsk") + "a1" + text("after") + "f6"), galenalatch.KindBadRequest},
+		{"null body", one("8182" + text("changesAsk") + "f6"), galenalatch.KindBadRequest},
+		{"duplicate field", one("8182" + text("changesAsk") + "a2" + text("after") + "01" + text("after") + "02"), galenalatch.KindBadRequest},
+		{"trailing data", one("8182" + text("changesAsk") + "a1" + text("after") + "0100"), galenalatch.KindBadRequest},
+		{"truncated", one("8182" + text("changesAsk") + "a1" + text("after")), galenalatch.KindBadRequest},
+		{"third element", one("8183" + text("changesAsk") + "a1" + text("after") + "0101"), galenalatch.KindBadRequest},
+		{"indefinite length", one("9f82" + text("changesAsk") + "a1" + text("after") + "01ff"), galenalatch.KindBadRequest},
+		{"tag", one("8182" + text("changesAsk") + "a1" + text("after") + "c101"), galenalatch.KindBadRequest},
+		{"invalid text", one("8182" + text("changesAsk") + "a161ff01"), galenalatch.KindBadRequest},
+		{"deep", append(deep, 0x80), galenalatch.KindBadRequest},
+		{"long array", append([]byte{0x99, 0x40, 0x01}, bytes.Repeat([]byte{0}, maxElements+1)...), galenalatch.KindBadRequest},
+		{"too large", make([]byte, MaxFrame+1), galenalatch.KindTooLarge},
+	} {
+		t.Run(r.name, func(t *testing.T) {
+			_, err := c.DecodeFrame(r.frame)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, galenalatch.KindOf(err), r.kind, "%v", err)
+		})
+	}
+	_, err := c.Encode(galenalatch.Changes{Changes: [][]byte{make([]byte, MaxEnvelope)}})
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindTooLarge)
+	_, err = c.Encode(nil)
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindBadRequest)
+}
+
+// one decodes hexadecimal digits.
+func one(s string) []byte {
+	b, _ := hex.DecodeString(s)
+	return b
+}
+
+// text returns the hexadecimal CBOR of a text of under 24 bytes.
+func text(s string) string {
+	return fmt.Sprintf("%02x%x", 0x60+len(s), s)
+}
+
+// Guards against panics and against accepted input that is not stable.
+func FuzzDecodeFrame(f *testing.F) {
+	c := newCodec(f)
+	for _, m := range samples(f) {
+		b, err := c.Encode(m)
+		assert.NilError(f, err)
+		f.Add(c.AppendFrame(nil, [][]byte{b, b}))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		messages, err := c.DecodeFrame(b)
+		if err != nil {
+			return
+		}
+		for _, m := range messages {
+			e, err := c.Encode(m)
+			assert.NilError(t, err)
+			again, err := c.Decode(e)
+			assert.NilError(t, err)
+			e2, err := c.Encode(again)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(e, e2))
+		}
+	})
+}
