Follow the serial numbers of grants in the entry

Cause: the cell numbers its grants so that a delayed copy cannot start a request after its slot was freed. Change: the entry accepts only serials higher than those it has seen for the request and cell, answers questions about grants and keeps the end of a grant for 30 s.

--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -274,7 +274,7 @@
 func (h *Host) states() []cell.Status {
 	var all []cell.Status
 	for _, c := range h.cells {
-		all = append(all, c.cell.Status())
+		all = append(all, c.cell.Status(time.Now()))
 	}
 	return all
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -82,6 +82,9 @@
 	pending  map[galenalatch.RequestID]*pending
 	running  map[galenalatch.RequestID]*running
 	held     map[galenalatch.WorkspaceName]int
+	holds    map[galenalatch.RequestID]struct{}
+	serials  map[serialKey]uint64
+	ended    map[endedKey]finished
 	leases   map[galenalatch.CellID]lease
 	changed  chan struct{}
 	reported map[galenalatch.CellID]reportedTo
@@ -109,6 +112,9 @@
 		pending:  make(map[galenalatch.RequestID]*pending),
 		running:  make(map[galenalatch.RequestID]*running),
 		held:     make(map[galenalatch.WorkspaceName]int),
+		holds:    make(map[galenalatch.RequestID]struct{}),
+		serials:  make(map[serialKey]uint64),
+		ended:    make(map[endedKey]finished),
 		leases:   make(map[galenalatch.CellID]lease),
 		changed:  make(chan struct{}),
 		reported: make(map[galenalatch.CellID]reportedTo),
@@ -130,10 +136,10 @@
 // Submit implements galenalatch.Submitter.
 func (e *Entry) Submit(ctx context.Context, r galenalatch.Request, s galenalatch.Sink) error {
 	started := time.Now()
-	if err := e.hold(r.Workspace); err != nil {
+	if err := e.hold(r); err != nil {
 		return err
 	}
-	defer e.unhold(r.Workspace)
+	defer e.unhold(r)
 	m := &meter{Sink: s, entry: e, request: r, started: started}
 	err := e.submit(ctx, r, m)
 	if ctx.Err() != nil && err != nil && galenalatch.KindOf(err) != galenalatch.KindWaitTimeout {
@@ -157,23 +163,32 @@
 	return err
 }
 
-func (e *Entry) hold(w galenalatch.WorkspaceName) error {
+func (e *Entry) hold(r galenalatch.Request) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	w := r.Workspace
 	if e.held[w] >= e.options.MaxHeld {
 		return galenalatch.KindQueueFull.Errorf("workspace %q has %d requests on this router", w, e.held[w])
 	}
 	e.held[w]++
+	e.holds[r.ID] = struct{}{}
 	return nil
 }
 
-func (e *Entry) unhold(w galenalatch.WorkspaceName) {
+func (e *Entry) unhold(r galenalatch.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	w := r.Workspace
 	e.held[w]--
 	if e.held[w] == 0 {
 		delete(e.held, w)
 	}
+	delete(e.holds, r.ID)
+	for k := range e.serials {
+		if k.request == r.ID {
+			delete(e.serials, k)
+		}
+	}
 }
 
 type discard struct{}
--- a/internal/process/entry/grant.go
+++ b/internal/process/entry/grant.go
@@ -41,32 +41,41 @@
 func (e *Entry) onGrant(g galenalatch.Grant) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if p, ok := e.pending[g.Request]; ok {
-		delete(e.pending, g.Request)
-		if p.holder.Router != "" && p.holder.Cell != g.Cell {
-			e.options.Send(p.holder.Router, galenalatch.Withdraw{Cell: p.holder.Cell, Request: g.Request})
+	if r, ok := e.running[g.Request]; ok && r.grant.Cell == g.Cell && r.grant.Serial == g.Serial {
+		if g.Ask {
+			e.progress(time.Now())
 		}
-		// The request counts as running from here on, so that a report or a
-		// repeated grant finds it.
-		e.running[g.Request] = &running{request: p.request, grant: g, record: p.record}
-		p.granted <- g
 		return
 	}
-	r, ok := e.running[g.Request]
-	if !ok {
-		e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Outcome: galenalatch.NotRun})
+	k := serialKey{g.Request, g.Cell}
+	p, waits := e.pending[g.Request]
+	if !waits || g.Ask || g.Serial <= e.serials[k] {
+		e.decline(k, g)
 		return
 	}
-	if r.grant == g {
-		return
+	e.serials[k] = g.Serial
+	delete(e.pending, g.Request)
+	if p.holder.Router != "" && p.holder.Cell != g.Cell {
+		e.options.Send(p.holder.Router, galenalatch.Withdraw{Cell: p.holder.Cell, Request: g.Request})
 	}
-	if r.grant.Cell == g.Cell {
-		// The holder does not know that the request runs: a Finish would
-		// end the running one, a Report corrects the holder.
-		e.report(time.Now(), g.Cell)
+	// The request counts as running from here on, so that a report or a
+	// repeated grant finds it.
+	e.running[g.Request] = &running{request: p.request, grant: g, record: p.record}
+	p.granted <- g
+}
+
+// decline ends a grant that is not used. The serial number is remembered: a
+// delayed copy of the grant must not start the request after its slot was
+// freed.
+func (e *Entry) decline(k serialKey, g galenalatch.Grant) {
+	if _, held := e.holds[g.Request]; held {
+		e.serials[k] = max(e.serials[k], g.Serial)
+	}
+	if f, ok := e.ended[endedKey{k, g.Serial}]; ok {
+		e.sendFinish(f.message)
 		return
 	}
-	e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Outcome: galenalatch.NotRun})
+	e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Serial: g.Serial, Outcome: galenalatch.NotRun})
 }
 
 func (e *Entry) onRefuse(m galenalatch.Refuse) {
--- a/internal/process/entry/pending.go
+++ b/internal/process/entry/pending.go
@@ -47,19 +47,37 @@
 
 func (r *running) report() galenalatch.Running {
 	return galenalatch.Running{
-		Request:   r.request.ID,
-		Workspace: r.request.Workspace,
-		Class:     r.request.Class,
-		Server:    r.grant.Server,
-		Boot:      r.grant.Boot,
-		Estimate:  r.record.Estimate,
-		Units:     r.units.Load(),
-		Home:      r.grant.Cell,
-		Slot:      r.grant.Slot,
+		Request:    r.request.ID,
+		Workspace:  r.request.Workspace,
+		Class:      r.request.Class,
+		Server:     r.grant.Server,
+		Boot:       r.grant.Boot,
+		Estimate:   r.record.Estimate,
+		Units:      r.units.Load(),
+		Home:       r.grant.Cell,
+		Slot:       r.grant.Slot,
+		ServerCell: r.grant.ServerCell,
+		Serial:     r.grant.Serial,
 	}
 }
 
-// finished is the end of a grant that no dispatcher was told yet.
+// serialKey identifies the serial numbers of one request in one cell.
+type serialKey struct {
+	request galenalatch.RequestID
+	cell    galenalatch.CellID
+}
+
+// endedKey identifies a grant that was used.
+type endedKey struct {
+	serialKey
+	serial uint64
+}
+
+// endedFor is how long the end of a grant is kept, so that a dispatcher that
+// missed it can ask.
+const endedFor = 30 * time.Second
+
+// finished is the end of a grant with the time until which it is kept.
 type finished struct {
 	message galenalatch.Finish
 	until   time.Time
@@ -129,7 +147,7 @@
 	select {
 	case g := <-p.granted:
 		delete(e.running, g.Request)
-		e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Outcome: galenalatch.NotRun})
+		e.sendFinish(galenalatch.Finish{Cell: g.Cell, Request: g.Request, Serial: g.Serial, Outcome: galenalatch.NotRun})
 	default:
 	}
 	if p.holder.Router == "" {
@@ -184,6 +202,7 @@
 	f := galenalatch.Finish{
 		Cell:      g.Cell,
 		Request:   g.Request,
+		Serial:    g.Serial,
 		Units:     units,
 		Outcome:   galenalatch.Answered,
 		Completed: err == nil,
@@ -195,6 +214,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.running, g.Request)
+	k := endedKey{serialKey{g.Request, g.Cell}, g.Serial}
+	e.ended[k] = finished{f, time.Now().Add(endedFor)}
 	e.sendFinish(f)
 }
 
--- a/internal/process/entry/report.go
+++ b/internal/process/entry/report.go
@@ -40,6 +40,7 @@
 		e.reportNew(now)
 		e.placeAll(now)
 		e.resendFinishes(now)
+		e.forgetEnded(now)
 		if now.Sub(progressed) >= progressEvery {
 			progressed = now
 			e.progress(now)
@@ -114,13 +115,21 @@
 	}
 }
 
+func (e *Entry) forgetEnded(now time.Time) {
+	for k, f := range e.ended {
+		if now.After(f.until) {
+			delete(e.ended, k)
+		}
+	}
+}
+
 // progress reports all running requests to the holders of their home cells,
 // and renews what is known about the leases in use.
 func (e *Entry) progress(now time.Time) {
 	used := make(map[galenalatch.CellID][]galenalatch.Used)
 	for _, r := range e.running {
 		c := r.grant.Cell
-		used[c] = append(used[c], galenalatch.Used{Request: r.request.ID, Units: r.units.Load()})
+		used[c] = append(used[c], galenalatch.Used{Request: r.request.ID, Serial: r.grant.Serial, Units: r.units.Load()})
 	}
 	for _, p := range e.pending {
 		if p.holder.Router != "" {
