--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -78,12 +78,12 @@
 	options Options
 	base    time.Time
 
-	mu       sync.Mutex
-	pending  map[galenalatch.RequestID]*pending
-	running  map[galenalatch.RequestID]*running
-	held     map[galenalatch.WorkspaceName]int
-	holds    map[galenalatch.RequestID]struct{}
-	serials  map[serialKey]uint64
+	mu      sync.Mutex
+	pending map[galenalatch.RequestID]*pending
+	running map[galenalatch.RequestID]*running
+	held    map[galenalatch.WorkspaceName]int
+	// serials holds, for each held request, the newest grant of each cell.
+	serials  map[galenalatch.RequestID]map[galenalatch.CellID]uint64
 	ended    map[endedKey]finished
 	leases   map[galenalatch.CellID]lease
 	changed  chan struct{}
@@ -112,8 +112,7 @@
 		pending:  make(map[galenalatch.RequestID]*pending),
 		running:  make(map[galenalatch.RequestID]*running),
 		held:     make(map[galenalatch.WorkspaceName]int),
-		holds:    make(map[galenalatch.RequestID]struct{}),
-		serials:  make(map[serialKey]uint64),
+		serials:  make(map[galenalatch.RequestID]map[galenalatch.CellID]uint64),
 		ended:    make(map[endedKey]finished),
 		leases:   make(map[galenalatch.CellID]lease),
 		changed:  make(chan struct{}),
@@ -171,7 +170,7 @@
 		return galenalatch.KindQueueFull.Errorf("workspace %q has %d requests on this router", w, e.held[w])
 	}
 	e.held[w]++
-	e.holds[r.ID] = struct{}{}
+	e.serials[r.ID] = make(map[galenalatch.CellID]uint64)
 	return nil
 }
 
@@ -183,12 +182,7 @@
 	if e.held[w] == 0 {
 		delete(e.held, w)
 	}
-	delete(e.holds, r.ID)
-	for k := range e.serials {
-		if k.request == r.ID {
-			delete(e.serials, k)
-		}
-	}
+	delete(e.serials, r.ID)
 }
 
 type discard struct{}
--- a/internal/process/entry/grant.go
+++ b/internal/process/entry/grant.go
@@ -47,13 +47,12 @@
 		}
 		return
 	}
-	k := serialKey{g.Request, g.Cell}
 	p, waits := e.pending[g.Request]
-	if !waits || g.Ask || g.Serial <= e.serials[k] {
-		e.decline(k, g)
+	if !waits || g.Ask || g.Serial <= e.serials[g.Request][g.Cell] {
+		e.decline(g)
 		return
 	}
-	e.serials[k] = g.Serial
+	e.serials[g.Request][g.Cell] = g.Serial
 	delete(e.pending, g.Request)
 	if p.holder.Router != "" && p.holder.Cell != g.Cell {
 		e.options.Send(p.holder.Router, galenalatch.Withdraw{Cell: p.holder.Cell, Request: g.Request})
@@ -67,11 +66,11 @@
 // decline ends a grant that is not used. The serial number is remembered: a
 // delayed copy of the grant must not start the request after its slot was
 // freed.
-func (e *Entry) decline(k serialKey, g galenalatch.Grant) {
-	if _, held := e.holds[g.Request]; held {
-		e.serials[k] = max(e.serials[k], g.Serial)
+func (e *Entry) decline(g galenalatch.Grant) {
+	if seen, held := e.serials[g.Request]; held {
+		seen[g.Cell] = max(seen[g.Cell], g.Serial)
 	}
-	if f, ok := e.ended[endedKey{k, g.Serial}]; ok {
+	if f, ok := e.ended[endedKey{g.Request, g.Cell, g.Serial}]; ok {
 		e.sendFinish(f.message)
 		return
 	}
--- a/internal/process/entry/pending.go
+++ b/internal/process/entry/pending.go
@@ -61,16 +61,11 @@
 	}
 }
 
-// serialKey identifies the serial numbers of one request in one cell.
-type serialKey struct {
-	request galenalatch.RequestID
-	cell    galenalatch.CellID
-}
-
 // endedKey identifies a grant that was used.
 type endedKey struct {
-	serialKey
-	serial uint64
+	request galenalatch.RequestID
+	cell    galenalatch.CellID
+	serial  uint64
 }
 
 // endedFor is how long the end of a grant is kept, so that a dispatcher that
@@ -214,7 +209,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.running, g.Request)
-	k := endedKey{serialKey{g.Request, g.Cell}, g.Serial}
+	k := endedKey{g.Request, g.Cell, g.Serial}
 	e.ended[k] = finished{f, time.Now().Add(endedFor)}
 	e.sendFinish(f)
 }
