Add a randomized failure test of the cell

Three fake routers with entries, two cells and fake servers run over a network that loses, duplicates, delays and reorders messages, with pauses, restarts, cold restarts, partitions, platform outages, takeovers and moves of requests between homes. The oracle checks the cold limit, single runs, and that all requests end and all capacity returns after quiet time.

--- /dev/null
+++ b/internal/decide/cell/fuzz_test.go
@@ -0,0 +1,250 @@
+package cell
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the number of runs. Give -rapid.seed and
+// -rapid.checks for other or longer runs.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "150")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// fuzz is a world with faults.
+type fuzz struct {
+	*world
+	loss  bool
+	calls int
+	open  int
+}
+
+var cellA, cellB = galenalatch.CellID{Pool: "m", DataCentre: "a"}, galenalatch.CellID{Pool: "m", DataCentre: "b"}
+
+func newFuzz(t *rapid.T) *fuzz {
+	cold := rapid.IntRange(1, 4).Draw(t, "cold")
+	p := galenalatch.Pool{Name: "m", ColdLimit: cold, WarmLimit: cold + rapid.IntRange(0, 6).Draw(t, "warm"), MaxCost: 100}
+	f := &fuzz{world: newWorld(rapid.Uint64().Draw(t, "seed"), p)}
+	f.leases = true
+	f.fail = t.Fatalf
+	f.onEnd = func(*call) { f.open-- }
+	f.transmit = func(_, _ *node) []time.Duration {
+		d := []time.Duration{time.Duration(f.rng.IntN(5)) * time.Millisecond}
+		if !f.loss {
+			return d
+		}
+		switch x := f.rng.IntN(100); {
+		case x < 5:
+			return nil
+		case x < 15:
+			return append(d, time.Duration(f.rng.IntN(8000))*time.Millisecond)
+		case x < 25:
+			return []time.Duration{time.Duration(f.rng.IntN(1500)) * time.Millisecond}
+		}
+		return d
+	}
+	for range 3 {
+		f.addNode("a")
+	}
+	for i := range rapid.IntRange(1, 2).Draw(t, "servers a") {
+		f.addServer(fmt.Sprint("sa", i), cellA)
+	}
+	for i := range rapid.IntRange(0, 2).Draw(t, "servers b") {
+		f.addServer(fmt.Sprint("sb", i), cellB)
+	}
+	f.hold(f.nodes[0], cellA)
+	f.hold(f.nodes[1], cellB)
+	f.every(200*time.Millisecond, f.leaseStep)
+	f.every(250*time.Millisecond, f.gossip)
+	return f
+}
+
+func (f *fuzz) gossip() {
+	for _, n := range f.nodes {
+		if n.paused {
+			continue
+		}
+		var all []galenalatch.Holder
+		for _, id := range sortedCells(n.holders) {
+			all = append(all, n.holders[id])
+		}
+		for _, o := range f.nodes {
+			if o != n {
+				n.send(o.id, galenalatch.Gossip{Holders: all})
+			}
+		}
+	}
+}
+
+func (f *fuzz) node(t *rapid.T) *node {
+	return f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
+}
+
+// link tells both sides about the state of their connection.
+func (f *fuzz) link(a, b *node, up bool) {
+	for _, p := range [][2]*node{{a, b}, {b, a}} {
+		n, o := p[0], p[1]
+		n.do(func() {
+			for _, id := range sortedCells(n.cells) {
+				if up {
+					n.cells[id].cell.RouterUp(f.now, o.id, o.start)
+				} else {
+					n.cells[id].cell.RouterDown(f.now, o.id)
+				}
+				n.wake(n.cells[id])
+			}
+			if up {
+				for _, id := range sortedCells(n.holders) {
+					if n.holders[id].Router == o.id {
+						n.reportTo(id)
+					}
+				}
+			}
+		})
+	}
+}
+
+func (f *fuzz) pick(t *rapid.T, millis ...int) time.Duration {
+	return time.Duration(rapid.SampledFrom(millis).Draw(t, "millis")) * time.Millisecond
+}
+
+func (f *fuzz) submitSome(t *rapid.T) {
+	n := f.node(t)
+	for range rapid.SampledFrom([]int{1, 4, 12, 30}).Draw(t, "count") {
+		f.calls++
+		w := rapid.IntRange(0, 3).Draw(t, "workspace")
+		k := &call{
+			id: galenalatch.RequestID(fmt.Sprintf("q%04d", f.calls)), workspace: galenalatch.WorkspaceName(fmt.Sprint("w", w)),
+			class: galenalatch.Interactive, cost: int64(1 + f.rng.IntN(100)), home: []galenalatch.CellID{cellA, cellB}[w%2],
+		}
+		n.do(func() { f.open++; n.submit(k) })
+	}
+}
+
+func (f *fuzz) restartNode(n *node) {
+	n.restart()
+	for _, o := range f.nodes {
+		if o != n && n.sees(o) {
+			f.link(n, o, true)
+		}
+	}
+	f.link(n, n, true)
+}
+
+// settle ends all faults and checks that the requests end and that all
+// capacity is returned.
+func (f *fuzz) settle(t *rapid.T) {
+	f.loss = false
+	for _, n := range f.nodes {
+		n.noPlatform = false
+		n.cut = map[*node]bool{}
+		n.resume()
+	}
+	f.run(12 * time.Second)
+	for i, a := range f.nodes {
+		for _, b := range f.nodes[i:] {
+			f.link(a, b, false)
+			f.link(a, b, true)
+		}
+	}
+	for i := 0; f.open > 0; i++ {
+		if f.run(time.Second); i > 300 {
+			t.Fatalf("%d requests have not ended", f.open)
+		}
+	}
+	for i := 0; ; i++ {
+		busy := f.busy()
+		if busy == "" {
+			return
+		}
+		if f.run(time.Second); i > 120 {
+			t.Fatalf("capacity is not returned: %s", busy)
+		}
+	}
+}
+
+// busy describes a cell with capacity in use, or is empty.
+func (f *fuzz) busy() string {
+	for _, id := range sortedCells(f.rows) {
+		h := f.rows[id].holder.cells[id]
+		if h == nil {
+			return "no holder"
+		}
+		s := h.cell.Status(f.now)
+		n := s.Waiting + s.Granted + s.Lent
+		for _, v := range s.Servers {
+			n += v.Running + v.Foreign
+		}
+		if n > 0 {
+			return fmt.Sprintf("%+v", s)
+		}
+	}
+	return ""
+}
+
+// Guards against a cold server that receives more than it can bear, a request
+// that runs twice, requests that never run and slots that are never freed,
+// under loss, duplication, delay, reordering, partitions, pauses, restarts and
+// two holders of a cell at once.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFuzz(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": f.submitSome,
+			"run": func(t *rapid.T) {
+				f.run(f.pick(t, 50, 500, 2000, 5000))
+			},
+			"": func(t *rapid.T) { f.run(f.pick(t, 1, 20, 200, 1000)) },
+			"loss": func(*rapid.T) { f.loss = !f.loss },
+			"pause": func(t *rapid.T) {
+				n := f.node(t)
+				n.paused = true
+				f.after(f.pick(t, 500, 3000, 5000, 9000), n.resume)
+			},
+			"restart":  func(t *rapid.T) { f.restartNode(f.node(t)) },
+			"platform": func(t *rapid.T) { n := f.node(t); n.noPlatform = !n.noPlatform },
+			"cold": func(t *rapid.T) {
+				id := rapid.SampledFrom([]galenalatch.ServerID{"sa0", "sa1", "sb0"}).Draw(t, "server")
+				if s := f.servers[id]; s != nil {
+					s.coldRestart()
+				}
+			},
+			"partition": func(t *rapid.T) {
+				a, b := f.node(t), f.node(t)
+				if a == b {
+					return
+				}
+				was := a.cut[b]
+				a.cut[b], b.cut[a] = !was, !was
+				f.after(time.Second, func() { f.link(a, b, a.sees(b)) })
+			},
+			"move": func(t *rapid.T) {
+				n := f.node(t)
+				to := rapid.SampledFrom([]galenalatch.CellID{cellA, cellB}).Draw(t, "to")
+				n.do(func() {
+					for _, k := range sortedCalls(callSet(n.calls)) {
+						n.move(k, to)
+					}
+				})
+			},
+		})
+		f.settle(t)
+	})
+}
+
+func callSet(m map[galenalatch.RequestID]*call) map[*call]bool {
+	set := map[*call]bool{}
+	for _, k := range m {
+		set[k] = true
+	}
+	return set
+}
