--- a/internal/decide/lease/step.go
+++ b/internal/decide/lease/step.go
@@ -30,6 +30,11 @@
 	return l.next(now, l.config.Renew/2)
 }
 
+// ReadDue reports whether Next would ask for a read.
+func (l *Lease) ReadDue(now time.Time) bool {
+	return l.inFlight == nil && (l.needRead || l.epoch == 0) && !now.Before(l.nextRead)
+}
+
 func (l *Lease) next(now time.Time, early time.Duration) Action {
 	if l.epoch != 0 && !now.Before(l.expires.Add(l.config.LapsedLimit)) {
 		l.lose()
@@ -37,11 +42,10 @@
 	switch {
 	case l.inFlight != nil:
 		return Action{}
+	case l.ReadDue(now):
+		l.readSent = now
+		return Action{Read: true}
 	case l.needRead || l.epoch == 0:
-		if !now.Before(l.nextRead) {
-			l.readSent = now
-			return Action{Read: true}
-		}
 		if l.needRead || l.rank < 0 || l.blind(now) || now.Before(l.nextWrite) || now.Before(l.takeover()) {
 			return Action{}
 		}
--- /dev/null
+++ b/internal/platform/leases/store_test.go
@@ -0,0 +1,184 @@
+package leases_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+	"github.com/galenalatch/galenalatch/internal/platform/leases"
+	"github.com/galenalatch/galenalatch/internal/platform/table"
+	"github.com/galenalatch/galenalatch/internal/standin/platform"
+)
+
+const cellCount = 20
+
+func cells(rank int) map[galenalatch.CellID]int {
+	ranks := map[galenalatch.CellID]int{}
+	for i := range cellCount {
+		ranks[galenalatch.CellID{Pool: "p/q", DataCentre: "d", Index: i}] = rank
+	}
+	return ranks
+}
+
+// process is a router that only keeps leases.
+type process struct {
+	*leases.Store
+	kill func()
+	told int
+}
+
+func (p *process) run(ctx context.Context) {
+	_ = p.Run(ctx)
+}
+
+func start(t *testing.T, s *platform.Server, name string, rank int) *process {
+	c, err := call.New("http://platform", call.WithTransport(s.Transport()))
+	assert.NilError(t, err)
+	p := &process{}
+	p.Store = leases.New(table.New(c), galenalatch.RouterID(name), name+"-1",
+		leases.WithNotify(func(galenalatch.CellID, leases.State) { p.told++ }))
+	p.SetCells(cells(rank))
+	ctx, cancel := context.WithCancel(t.Context())
+	p.kill = cancel
+	go p.run(ctx)
+	return p
+}
+
+func wait(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+func (p *process) count(is func(leases.State) bool) int {
+	n := 0
+	for _, st := range p.States() {
+		if is(st) {
+			n++
+		}
+	}
+	return n
+}
+
+func held(s leases.State) bool   { return s.Held }
+func lapsed(s leases.State) bool { return s.Lapsed }
+
+// TestLoad guards against calls per cell: a router makes one read per 500 ms
+// and one batch per renewal, whatever the number of its cells.
+func TestLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := platform.New()
+		a := start(t, server, "a", 0)
+		wait(time.Second)
+		assert.Equal(t, a.count(held), cellCount)
+		b := start(t, server, "b", 1)
+		before := server.Stats()
+		wait(60 * time.Second)
+		after := server.Stats()
+		assert.Equal(t, a.count(held), cellCount)
+		assert.Equal(t, a.told, cellCount, "renewals are no changes")
+		assert.Equal(t, b.count(held), 0)
+		assert.Assert(t, after.Reads-before.Reads <= 121, "%d reads", after.Reads-before.Reads)
+		assert.Assert(t, after.Writes-before.Writes <= 43, "%d batches", after.Writes-before.Writes)
+		a.kill()
+		b.kill()
+	})
+}
+
+// TestKilledHolder guards against cells that stay without a holder.
+func TestKilledHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := platform.New()
+		a := start(t, server, "a", 0)
+		wait(time.Second)
+		b := start(t, server, "b", 1)
+		wait(10 * time.Second)
+		a.kill()
+		wait(5500 * time.Millisecond)
+		assert.Equal(t, b.count(held), cellCount)
+		for _, st := range b.States() {
+			assert.Equal(t, st.Epoch, galenalatch.Epoch(2))
+			assert.Equal(t, st.Holder, galenalatch.RouterID("b"))
+			assert.Assert(t, st.Unconfirmed)
+		}
+		b.kill()
+	})
+}
+
+// TestOutage guards against holders that stop or change with an outage, a
+// hang or lost responses of the platform.
+func TestOutage(t *testing.T) {
+	for name, faults := range map[string]platform.Faults{
+		"down": {Down: true},
+		"hang": {Hang: true},
+		"late": {DelayMillis: 1300},
+		"lost": {LoseShare: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server := platform.New()
+				a := start(t, server, "a", 0)
+				wait(time.Second)
+				b := start(t, server, "b", 1)
+				wait(10 * time.Second)
+				server.SetFaults(faults)
+				for range 60 {
+					wait(time.Second)
+					assert.Equal(t, a.count(held)+a.count(lapsed), cellCount)
+					assert.Equal(t, b.count(held), 0)
+				}
+				server.SetFaults(platform.Faults{})
+				wait(4 * time.Second)
+				assert.Equal(t, a.count(held), cellCount)
+				assert.Equal(t, b.count(held), 0)
+				for _, st := range a.States() {
+					assert.Equal(t, st.Epoch, galenalatch.Epoch(1))
+				}
+				a.kill()
+				b.kill()
+				wait(10 * time.Second)
+			})
+		})
+	}
+}
+
+// TestHandover guards against a handover that takes longer than two reads,
+// and against leases of removed cells that are kept.
+func TestHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := platform.New()
+		a := start(t, server, "a", 0)
+		wait(time.Second)
+		b, c := start(t, server, "b", 1), start(t, server, "c", 2)
+		wait(time.Second)
+		server.SetFaults(platform.Faults{LoseNext: 1})
+		for id := range cells(0) {
+			assert.NilError(t, a.Release(t.Context(), id, "c"))
+		}
+		wait(time.Second)
+		assert.Equal(t, c.count(held), cellCount)
+		assert.Equal(t, c.count(func(s leases.State) bool { return s.Unconfirmed }), 0)
+		id := galenalatch.CellID{Pool: "p/q", DataCentre: "d"}
+		assert.Assert(t, c.Heard(id, 9))
+		assert.Assert(t, !c.State(id).Held)
+
+		c.SetCells(nil)
+		wait(time.Second)
+		assert.Equal(t, len(c.States()), 0)
+		// The successors of a removed cell do not wait for an expiry.
+		assert.Assert(t, b.count(held) >= cellCount-1, fmt.Sprint(b.count(held)))
+		server.SetFaults(platform.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Equal(t, galenalatch.KindOf(b.Release(ctx, galenalatch.CellID{Pool: "p/q", DataCentre: "d", Index: 1}, "")),
+			galenalatch.KindPlatformDown)
+		a.kill()
+		b.kill()
+		c.kill()
+	})
+}
