--- /dev/null
+++ b/internal/config/standin/settings.go
@@ -0,0 +1,117 @@
+// Package standin holds the settings of the stand-ins that tests and the
+// demo use in place of the platform and the backend servers.
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/config/check"
+	"github.com/galenalatch/galenalatch/internal/config/strict"
+)
+
+// maxFaults bounds the faults that one error lists.
+const maxFaults = 20
+
+// Settings are the settings of one fleet's stand-ins.
+type Settings struct {
+	Platform Platform `json:"platform"`
+	Network  Network  `json:"network"`
+	// Engines and Services hold the behaviour of the backend servers, by
+	// pool.
+	Engines  map[galenalatch.PoolName]Engine  `json:"engines" validate:"max=64,dive"`
+	Services map[galenalatch.PoolName]Service `json:"services" validate:"max=64,dive"`
+	// Instances is the platform's instance list at the start. The stand-ins
+	// listen on the addresses of its backend servers.
+	Instances []galenalatch.Instance `json:"instances" validate:"min=1,max=2000"`
+}
+
+// Load reads and checks the document in the file at path. The path of the
+// catalogue in it counts from the directory of this file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("stand-in settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("stand-in settings %s: %w", path, err)
+	}
+	if s.Platform.Catalogue != "" && !filepath.IsAbs(s.Platform.Catalogue) {
+		s.Platform.Catalogue = filepath.Join(filepath.Dir(path), s.Platform.Catalogue)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks a document.
+func Parse(data []byte) (Settings, error) {
+	s := Settings{Platform: defaultPlatform()}
+	if err := strict.Decode(data, &s); err != nil {
+		return Settings{}, err
+	}
+	if err := s.Check(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+var checker = check.New()
+
+// Check returns an error that lists the faults of s, each with its field,
+// its value and what is allowed.
+func (s Settings) Check() error {
+	faults, _ := checker.Faults(s, maxFaults)
+	faults = append(faults, s.instanceFaults()...)
+	if len(faults) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(faults[:min(maxFaults, len(faults))], "\n"))
+}
+
+func (s Settings) instanceFaults() []string {
+	var faults []string
+	add := func(i int, field, value, allowed string) {
+		faults = append(faults, fmt.Sprintf("instances[%d].%s: %s is not allowed; allowed: %s", i, field, check.Quote(value), allowed))
+	}
+	ids := make(map[string]bool)
+	addresses := make(map[string]bool)
+	for i, x := range s.Instances {
+		if x.ID == "" || ids[x.ID] {
+			add(i, "id", x.ID, "a name that no other instance has")
+		}
+		ids[x.ID] = true
+		if _, err := netip.ParseAddrPort(x.Address); err != nil || addresses[x.Address] {
+			add(i, "address", x.Address, "an IP address with a port that no other instance has")
+		}
+		addresses[x.Address] = true
+		if x.DataCentre == "" {
+			add(i, "dataCentre", "", "a name")
+		}
+		_, engine := s.Engines[x.Pool]
+		_, service := s.Services[x.Pool]
+		switch {
+		case x.Role == galenalatch.ServerRole && engine == service:
+			add(i, "pool", string(x.Pool), "a pool of engines or of services")
+		case x.Role == galenalatch.RouterRole && x.Pool != "":
+			add(i, "pool", string(x.Pool), "no pool for a router")
+		case x.Role != galenalatch.RouterRole && x.Role != galenalatch.ServerRole:
+			add(i, "role", string(x.Role), "one of router, server")
+		}
+	}
+	return faults
+}
+
+// String returns the settings as an indented JSON document.
+func (s Settings) String() string {
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
