--- a/internal/config/duration/duration.go
+++ b/internal/config/duration/duration.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"time"
 )
 
@@ -20,16 +21,15 @@
 // MarshalJSON implements json.Marshaler.
 func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.String()) }
 
-// UnmarshalJSON implements json.Unmarshaler.
+// UnmarshalJSON implements json.Unmarshaler. Its errors are of type
+// json.UnmarshalTypeError, to which the decoder adds the field.
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var s string
-	if err := json.Unmarshal(data, &s); err != nil {
-		return fmt.Errorf("a duration must be a string such as \"4s\", not %.40s", data)
+	if err := json.Unmarshal(data, &s); err == nil {
+		if v, err := time.ParseDuration(s); err == nil {
+			*d = Duration(v)
+			return nil
+		}
 	}
-	v, err := time.ParseDuration(s)
-	if err != nil {
-		return fmt.Errorf("duration %.40q is not a number with a unit such as \"4s\" or \"250ms\"", s)
-	}
-	*d = Duration(v)
-	return nil
+	return &json.UnmarshalTypeError{Value: fmt.Sprintf("value %.40s", data), Type: reflect.TypeFor[Duration]()}
 }
--- a/internal/config/strict/decode.go
+++ b/internal/config/strict/decode.go
@@ -8,7 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"strings"
+
+	"github.com/galenalatch/galenalatch/internal/config/duration"
 )
 
 // maxDepth bounds the nesting of a document.
@@ -91,13 +94,31 @@
 	case errors.As(err, &syntax):
 		return fmt.Errorf("line %d: %w", line(data, syntax.Offset), err)
 	case errors.As(err, &kind) && kind.Field != "":
-		return fmt.Errorf("field %q: a JSON %s is not allowed, want %s", kind.Field, kind.Value, kind.Type)
+		return fmt.Errorf("field %q: a JSON %s is not allowed, want %s", kind.Field, kind.Value, form(kind.Type))
 	case errors.As(err, &kind):
 		return fmt.Errorf("a JSON %s is not allowed here, want an object", kind.Value)
 	}
 	return errors.New(strings.TrimPrefix(err.Error(), "json: "))
 }
 
+// form words the JSON form of a type.
+func form(t reflect.Type) string {
+	if t == reflect.TypeFor[duration.Duration]() {
+		return "a duration such as \"4s\" or \"250ms\""
+	}
+	switch k := t.Kind(); {
+	case k == reflect.String:
+		return "a string"
+	case k == reflect.Bool:
+		return "true or false"
+	case k == reflect.Slice:
+		return "an array"
+	case k >= reflect.Int && k <= reflect.Uintptr:
+		return "an integer"
+	}
+	return "an object"
+}
+
 func line(data []byte, offset int64) int {
 	return 1 + bytes.Count(data[:min(offset, int64(len(data)))], []byte("\n"))
 }
