--- a/cmd/galenalatch/main.go
+++ b/cmd/galenalatch/main.go
@@ -6,10 +6,17 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/galenalatch/galenalatch/internal/operator/commands"
+	"github.com/galenalatch/galenalatch/internal/process/command"
 )
 
+const version = "0.1.0"
+
 func main() {
 	app := kingpin.New("galenalatch", "Router fleet with fair shares for workspaces.")
-	app.Version("0.1.0")
+	app.Version(version)
+	command.Register(app, os.Stdout)
+	commands.Register(app, os.Stdout)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- a/internal/decide/cell/fuzz_test.go
+++ b/internal/decide/cell/fuzz_test.go
@@ -203,7 +203,7 @@
 			"run": func(t *rapid.T) {
 				f.run(f.pick(t, 50, 500, 2000, 5000))
 			},
-			"": func(t *rapid.T) { f.run(f.pick(t, 1, 20, 200, 1000)) },
+			"":     func(t *rapid.T) { f.run(f.pick(t, 1, 20, 200, 1000)) },
 			"loss": func(*rapid.T) { f.loss = !f.loss },
 			"pause": func(t *rapid.T) {
 				n := f.node(t)
--- /dev/null
+++ b/internal/process/command/commands.go
@@ -0,0 +1,92 @@
+// Package command defines the commands that run processes of the fleet.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/galenalatch/galenalatch/internal/config/settings"
+	"github.com/galenalatch/galenalatch/internal/config/standin"
+	"github.com/galenalatch/galenalatch/internal/process/router"
+	"github.com/galenalatch/galenalatch/internal/process/standins"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+)
+
+// Commands holds the values of flags and arguments.
+type Commands struct {
+	out   io.Writer
+	path  string
+	check bool
+	ids   []string
+}
+
+// Register adds the commands to app. Their output goes to out.
+func Register(app *kingpin.Application, out io.Writer) *Commands {
+	c := &Commands{out: out}
+	r := app.Command("router", "Run a router.")
+	r.Flag("settings", "File with the router's settings in JSON.").Required().ExistingFileVar(&c.path)
+	r.Flag("check", "Check the settings and exit.").BoolVar(&c.check)
+	r.Action(c.action(c.router))
+
+	s := app.Command("settings", "Print the default settings of a router.")
+	s.Action(c.action(c.printSettings))
+
+	d := app.Command("standin", "Run stand-ins for the platform and the backend servers, for tests.")
+	d.Flag("settings", "File with the settings of the stand-ins in JSON.").Required().ExistingFileVar(&c.path)
+	d.Flag("check", "Check the settings and exit.").BoolVar(&c.check)
+	d.Arg("id", `Ids of backend servers, or "platform"; all by default.`).StringsVar(&c.ids)
+	d.Action(c.action(c.standins))
+	return c
+}
+
+// action runs f until it ends or the process is told to stop.
+func (c *Commands) action(f func(context.Context) error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return f(ctx)
+	}
+}
+
+func (c *Commands) router(ctx context.Context) error {
+	s, err := settings.Load(c.path)
+	if err != nil {
+		return err
+	}
+	if c.check {
+		_, err = fmt.Fprintf(c.out, "%s: settings of router %q are valid\n", c.path, s.ID)
+		return err
+	}
+	log, err := events.New(os.Stderr, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	r, err := router.New(s, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
+func (c *Commands) printSettings(context.Context) error {
+	_, err := fmt.Fprintln(c.out, settings.Default())
+	return err
+}
+
+func (c *Commands) standins(ctx context.Context) error {
+	s, err := standin.Load(c.path)
+	if err != nil {
+		return err
+	}
+	if c.check {
+		_, err = fmt.Fprintf(c.out, "%s: settings of %d instances are valid\n", c.path, len(s.Instances))
+		return err
+	}
+	return standins.New(s).Run(ctx, c.ids...)
+}
--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -50,6 +50,16 @@
 	links   map[galenalatch.RouterID]string
 	pollers map[galenalatch.ServerID]poller
 	status  chan chan []cell.Status
+	stop    chan chan []galenalatch.Handover
+	// handovers are kept for cells whose lease is not yet held.
+	handovers map[galenalatch.CellID]handover
+	stopped   bool
+}
+
+// handover is a message that arrived before its cell was opened.
+type handover struct {
+	from    galenalatch.RouterID
+	message galenalatch.Handover
 }
 
 // hosted is one cell with the inputs it has seen.
@@ -90,6 +100,9 @@
 		links:   make(map[galenalatch.RouterID]string),
 		pollers: make(map[galenalatch.ServerID]poller),
 		status:  make(chan chan []cell.Status),
+		stop:    make(chan chan []galenalatch.Handover),
+
+		handovers: make(map[galenalatch.CellID]handover),
 	}
 }
 
@@ -133,6 +146,18 @@
 	}
 }
 
+// Stop ends granting in all held cells, for good, and returns what their next
+// holders need. Messages are still handled while the leases are held.
+func (h *Host) Stop(ctx context.Context) []galenalatch.Handover {
+	reply := make(chan []galenalatch.Handover, 1)
+	select {
+	case h.stop <- reply:
+		return <-reply
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // Run runs the cells until the context ends.
 func (h *Host) Run(ctx context.Context) error {
 	return h.loop(ctx)
@@ -152,6 +177,8 @@
 			h.drain()
 		case reply := <-h.status:
 			reply <- h.states()
+		case reply := <-h.stop:
+			reply <- h.stopAll()
 		case <-refresh.C:
 			h.refresh(ctx, time.Now())
 		case <-due.C:
@@ -216,7 +243,21 @@
 	if c, ok := h.cells[id]; ok {
 		c.cell.Handle(now, from, m)
 		c.dirty = true
+		return
 	}
+	if o, ok := m.(galenalatch.Handover); ok {
+		h.handovers[id] = handover{from, o}
+	}
+}
+
+func (h *Host) stopAll() []galenalatch.Handover {
+	h.stopped = true
+	var all []galenalatch.Handover
+	for _, c := range h.cells {
+		c.cell.Stop()
+		all = append(all, c.cell.Handover())
+	}
+	return all
 }
 
 // target returns the cell to which a message is addressed. It reports false
--- a/internal/process/dispatch/refresh.go
+++ b/internal/process/dispatch/refresh.go
@@ -49,6 +49,13 @@
 	for r, start := range h.links {
 		c.cell.RouterUp(now, r, start)
 	}
+	if o, ok := h.handovers[id]; ok {
+		delete(h.handovers, id)
+		c.cell.Handle(now, o.from, o.message)
+	}
+	if h.stopped {
+		c.cell.Stop()
+	}
 	return c
 }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -132,6 +132,21 @@
 	return n
 }
 
+// Counts returns the waiting and the running requests of each workspace.
+func (e *Entry) Counts() (waits, runs map[galenalatch.WorkspaceName]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	waits = make(map[galenalatch.WorkspaceName]int)
+	runs = make(map[galenalatch.WorkspaceName]int)
+	for _, p := range e.pending {
+		waits[p.request.Workspace]++
+	}
+	for _, r := range e.running {
+		runs[r.request.Workspace]++
+	}
+	return waits, runs
+}
+
 // Submit implements galenalatch.Submitter.
 func (e *Entry) Submit(ctx context.Context, r galenalatch.Request, s galenalatch.Sink) error {
 	started := time.Now()
--- /dev/null
+++ b/internal/process/router/join.go
@@ -0,0 +1,227 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	"github.com/galenalatch/galenalatch/internal/backend/engine"
+	"github.com/galenalatch/galenalatch/internal/backend/report"
+	"github.com/galenalatch/galenalatch/internal/backend/service"
+	"github.com/galenalatch/galenalatch/internal/caller/auth"
+	"github.com/galenalatch/galenalatch/internal/caller/openai"
+	"github.com/galenalatch/galenalatch/internal/caller/plain"
+	configcatalogue "github.com/galenalatch/galenalatch/internal/config/catalogue"
+	"github.com/galenalatch/galenalatch/internal/decide/lease"
+	"github.com/galenalatch/galenalatch/internal/operator/api"
+	"github.com/galenalatch/galenalatch/internal/peer/link"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
+	"github.com/galenalatch/galenalatch/internal/platform/instances"
+	"github.com/galenalatch/galenalatch/internal/platform/leases"
+	"github.com/galenalatch/galenalatch/internal/platform/object"
+	"github.com/galenalatch/galenalatch/internal/platform/table"
+	"github.com/galenalatch/galenalatch/internal/process/dispatch"
+	"github.com/galenalatch/galenalatch/internal/process/entry"
+	"github.com/galenalatch/galenalatch/internal/process/fleet"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+	"github.com/galenalatch/galenalatch/internal/telemetry/metrics"
+)
+
+// joinPlatform makes the clients of the platform and what is kept in it.
+func (r *Router) joinPlatform() error {
+	token, err := r.settings.Platform.Token.Read()
+	if err != nil {
+		return err
+	}
+	c, err := call.New(r.settings.Platform.Address, call.WithToken(token))
+	if err != nil {
+		return err
+	}
+	rows := table.New(c)
+	r.fleet = fleet.New(instances.New(c), fleet.WithChanged(r.onInstances))
+	r.catalogue = catalogue.New(rows, object.New(c),
+		catalogue.WithValidation(configcatalogue.New().Check),
+		catalogue.WithNotify(r.onCatalogue))
+	r.views = &views{router: r}
+	r.leases = leases.New(rows, r.settings.ID, r.start,
+		leases.WithConfig(lease.Config{
+			Duration: r.settings.Lease.Duration.Std(),
+			Renew:    r.settings.Lease.Renew.Std(),
+			Margin:   r.settings.Lease.Margin.Std(),
+		}),
+		leases.WithNotify(r.onLease))
+	return nil
+}
+
+func (r *Router) onInstances(list []galenalatch.Instance) {
+	r.mesh.SetPeers(slices.DeleteFunc(slices.Clone(list), func(i galenalatch.Instance) bool {
+		return i.Role != galenalatch.RouterRole
+	}))
+	r.log.Event(events.InstancesRead, "instances", len(list))
+}
+
+func (r *Router) onCatalogue(c galenalatch.Catalogue) {
+	r.fleet.SetCatalogue(c)
+	r.log.Event(events.CatalogueApplied, "version", c.Version)
+}
+
+func (r *Router) onLease(c galenalatch.CellID, s leases.State) {
+	n := events.LeaseLost
+	switch {
+	case s.Held:
+		n = events.LeaseAcquired
+	case s.Lapsed:
+		n = events.LeaseLapsed
+	case s.Epoch == 0 && s.Released:
+		n = events.LeaseReleased
+	case s.Epoch == 0 && s.Holder != r.settings.ID:
+		return
+	}
+	r.log.Event(n, "cell", c, "epoch", max(s.Epoch, s.HolderEpoch))
+}
+
+// joinPeers makes the connections to other routers.
+func (r *Router) joinPeers() error {
+	token, err := r.settings.Tokens.Peer.Read()
+	if err != nil {
+		return err
+	}
+	r.mesh, err = link.New(link.Options{
+		Self:       r.settings.ID,
+		Start:      r.start,
+		DataCentre: r.settings.DataCentre,
+		Token:      token,
+		Handle:     r.onMessage,
+		Up:         r.onUp,
+		Down:       r.onDown,
+		Failed:     r.onFailed,
+	})
+	return err
+}
+
+func (r *Router) onMessage(from galenalatch.RouterID, m galenalatch.Message) {
+	if !r.entry.Handle(from, m) {
+		r.host.Handle(from, m)
+	}
+}
+
+func (r *Router) onUp(p galenalatch.RouterID, start string) {
+	r.failures.Delete(p)
+	r.host.LinkUp(p, start)
+	r.entry.LinkUp(p)
+	r.log.Event(events.PeerConnected, "peer", p)
+}
+
+func (r *Router) onFailed(p galenalatch.RouterID, err error) {
+	r.failures.Store(p, time.Now())
+	r.log.Event(events.PeerLost, "peer", p, "error", err)
+}
+
+func (r *Router) onDown(p galenalatch.RouterID) {
+	r.host.LinkDown(p)
+}
+
+// joinRequests makes the entry, the cells and the backend clients.
+func (r *Router) joinRequests() error {
+	r.connections = connection.New()
+	runners := map[galenalatch.PoolKind]galenalatch.Runner{
+		galenalatch.ModelPool: engine.New(r.connections),
+		galenalatch.PlainPool: service.New(r.connections),
+	}
+	r.metrics = metrics.New(r.status)
+	r.entry = entry.New(entry.Options{
+		Self:      r.settings.ID,
+		Directory: r.fleet.Directory,
+		Holder:    r.views.holder,
+		Reachable: r.reachable,
+		Fresh:     r.views.fresh,
+		Send:      r.mesh.Send,
+		Runner:    func(k galenalatch.PoolKind) galenalatch.Runner { return runners[k] },
+		Claims:    noClaims{},
+		Observer:  observer{r},
+		MaxHeld:   r.settings.Limits.ConnectionsPerWorkspace,
+	})
+	r.host = dispatch.New(dispatch.Options{
+		Self:      r.settings.ID,
+		Directory: r.fleet.Directory,
+		Leases:    r.heldLeases,
+		Holders:   r.views.holders,
+		Reporter:  report.New(),
+		Send:      r.mesh.Send,
+	})
+	// The router's own entry is always connected.
+	r.host.LinkUp(r.settings.ID, r.start)
+	return nil
+}
+
+// unreachableFor is how long a router counts as unreachable after a failed
+// connection.
+const unreachableFor = 2 * time.Second
+
+// reachable reports whether a router can be sent messages. A router without
+// a connection counts as reachable, since sending opens one.
+func (r *Router) reachable(p galenalatch.RouterID) bool {
+	if p == r.settings.ID {
+		return true
+	}
+	at, ok := r.failures.Load(p)
+	return !ok || time.Since(at.(time.Time)) > unreachableFor
+}
+
+func (r *Router) heldLeases() map[galenalatch.CellID]dispatch.LeaseState {
+	held := make(map[galenalatch.CellID]dispatch.LeaseState)
+	for c, s := range r.leases.States() {
+		if s.Held || s.Lapsed {
+			held[c] = dispatch.LeaseState{Epoch: s.Epoch, Expires: s.Expires, Lapsed: s.Lapsed, Unconfirmed: s.Unconfirmed}
+		}
+	}
+	return held
+}
+
+// joinListener registers what the router serves.
+func (r *Router) joinListener() error {
+	operator, err := r.settings.Tokens.Operator.Read()
+	if err != nil {
+		return err
+	}
+	keys := auth.New(r.catalogue.Current)
+	chat := openai.New(r.entry, r.catalogue.Current, keys.Workspace,
+		openai.WithBodyLimit(r.settings.Limits.BodyBytes), openai.WithObserver(r.metrics.Ended))
+	calls := plain.New(r.entry, r.catalogue.Current, keys.Workspace,
+		plain.WithBodyLimit(r.settings.Limits.BodyBytes), plain.WithObserver(r.metrics.Ended))
+	verbs := api.New(r.catalogue, api.Fleet{Status: r.status, Accepted: r.views.accepted, Instances: r.fleet.Instances},
+		galenalatch.Diff, auth.Token(operator), api.WithObserver(r.onChange))
+
+	a := r.settings.Listen
+	r.listener.Handle(a.Caller, "/v1/", chat)
+	r.listener.Handle(a.Caller, plain.Prefix, calls)
+	r.listener.Handle(a.Caller, "/healthz", http.HandlerFunc(r.serveHealth))
+	r.listener.Handle(a.Caller, "/readyz", http.HandlerFunc(r.serveReady))
+	r.listener.Handle(a.Peer, "/peer", r.mesh.Handler())
+	r.listener.Handle(a.Operator, "/operator/v1/", verbs)
+	r.listener.Handle(a.Operator, "/metrics", r.metrics.Handler())
+	return nil
+}
+
+func (r *Router) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := r.notReady(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// noClaims refuses calls that may not be repeated.
+type noClaims struct{}
+
+func (noClaims) Claim(context.Context, galenalatch.Request) (entry.Claim, *entry.Answer, error) {
+	return nil, nil, galenalatch.KindPlatformDown.Errorf("claims are not available")
+}
--- /dev/null
+++ b/internal/process/router/outage.go
@@ -0,0 +1,28 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+)
+
+// outage logs the begin and the end of a platform outage once.
+type outage struct {
+	log   *events.Log
+	mu    sync.Mutex
+	since time.Time
+}
+
+func (o *outage) note(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err != nil && o.since.IsZero():
+		o.since = time.Now()
+		o.log.Event(events.PlatformDown, "error", err)
+	case err == nil && !o.since.IsZero():
+		o.log.Event(events.PlatformUp, "after", time.Since(o.since).Round(time.Millisecond))
+		o.since = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/process/router/router.go
@@ -0,0 +1,169 @@
+// Package router joins the parts of a router process.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/google/uuid"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	"github.com/galenalatch/galenalatch/internal/config/settings"
+	"github.com/galenalatch/galenalatch/internal/peer/link"
+	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
+	"github.com/galenalatch/galenalatch/internal/platform/leases"
+	"github.com/galenalatch/galenalatch/internal/process/dispatch"
+	"github.com/galenalatch/galenalatch/internal/process/entry"
+	"github.com/galenalatch/galenalatch/internal/process/fleet"
+	"github.com/galenalatch/galenalatch/internal/process/listener"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+	"github.com/galenalatch/galenalatch/internal/telemetry/metrics"
+)
+
+// Router is one router process.
+type Router struct {
+	settings    settings.Settings
+	start       string
+	log         *events.Log
+	catalogue   *catalogue.Store
+	fleet       *fleet.Fleet
+	leases      *leases.Store
+	mesh        *link.Mesh
+	entry       *entry.Entry
+	host        *dispatch.Host
+	views       *views
+	connections *connection.Pool
+	metrics     *metrics.Metrics
+	listener    *listener.Server
+	platform    outage
+	// failures holds the time of the last failed connection by router.
+	failures sync.Map
+	draining atomic.Bool
+	ready    atomic.Bool
+}
+
+// New joins the parts. Nothing runs before Run.
+func New(s settings.Settings, log *events.Log) (*Router, error) {
+	r := &Router{
+		settings: s,
+		start:    uuid.NewString(),
+		log:      log.With("router", s.ID),
+		listener: listener.New(s.Limits.HeaderBytes),
+	}
+	r.platform.log = r.log
+	for _, step := range []func() error{r.joinPlatform, r.joinPeers, r.joinRequests, r.joinListener} {
+		if err := step(); err != nil {
+			return nil, fmt.Errorf("router %s: %w", s.ID, err)
+		}
+	}
+	return r, nil
+}
+
+// Run serves until ctx ends, then drains: running requests finish and the
+// cells go to other routers.
+func (r *Router) Run(ctx context.Context) error {
+	if err := r.listener.Open(); err != nil {
+		r.log.Event(events.ListenerFailed, "error", err)
+		return err
+	}
+	r.log.Event(events.RouterStarted, "start", r.start, "dataCentre", r.settings.DataCentre)
+	// The parts outlive ctx: they serve the requests that finish while the
+	// router drains.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	for _, run := range []func(context.Context) error{
+		r.fleet.Run, r.leases.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.views.run, r.runRanks,
+	} {
+		g.Go(func() error { return run(work) })
+	}
+	g.Go(r.listener.Run)
+	g.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+		}
+		return r.drain(work)
+	})
+	err := g.Wait()
+	r.connections.Close()
+	r.log.Event(events.RouterStopped)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// ranksEvery is how often the candidates of the cells are computed anew.
+const ranksEvery = 250 * time.Millisecond
+
+// runRanks keeps the lease store's cells in step with the directory.
+func (r *Router) runRanks(ctx context.Context) error {
+	return r.loopRanks(ctx)
+}
+
+func (r *Router) loopRanks(ctx context.Context) error {
+	tick := time.NewTicker(ranksEvery)
+	defer tick.Stop()
+	for {
+		if r.fleet.Seen() {
+			r.leases.SetCells(r.ranks())
+		}
+		r.setReady()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// ranks returns the router's place among the candidates of each cell.
+func (r *Router) ranks() map[galenalatch.CellID]int {
+	d := r.fleet.Directory()
+	ranks := make(map[galenalatch.CellID]int)
+	for _, c := range d.AllCells() {
+		ranks[c] = -1
+		if r.draining.Load() {
+			continue
+		}
+		for i, id := range d.Candidates(c) {
+			if id == r.settings.ID {
+				ranks[c] = i
+			}
+		}
+	}
+	return ranks
+}
+
+// setReady logs changes of readiness.
+func (r *Router) setReady() {
+	err := r.notReady()
+	if was := r.ready.Swap(err == nil); was == (err == nil) {
+		return
+	}
+	if err != nil {
+		r.log.Event(events.RouterNotReady, "error", err)
+		return
+	}
+	r.log.Event(events.RouterReady, "version", r.catalogue.Current().Version)
+}
+
+// notReady returns why the router should get no new requests.
+func (r *Router) notReady() error {
+	if r.draining.Load() {
+		return galenalatch.KindShuttingDown.Errorf("the router is draining")
+	}
+	if !r.fleet.Seen() {
+		return galenalatch.KindCatalogueStale.Errorf("the instance list was not read yet")
+	}
+	return r.views.fresh()
+}
--- /dev/null
+++ b/internal/process/router/status.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/operator/message"
+	"github.com/galenalatch/galenalatch/internal/operator/status"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+)
+
+// statusWait bounds the wait for the cells' states.
+const statusWait = time.Second
+
+// status returns the state of the router for operators and metrics.
+func (r *Router) status() status.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), statusWait)
+	defer cancel()
+	s := status.Status{
+		Router:     r.settings.ID,
+		Start:      r.start,
+		DataCentre: r.settings.DataCentre,
+		Version:    r.catalogue.Current().Version,
+		Fresh:      r.views.fresh() == nil,
+		Ready:      r.notReady() == nil,
+		Draining:   r.draining.Load(),
+		Held:       r.views.held(),
+	}
+	s.Waiting, s.Running = r.entry.Counts()
+	for _, c := range r.host.Status(ctx) {
+		s.Cells = append(s.Cells, status.Cell{Cell: c.Cell, Epoch: c.Epoch, Lapsed: c.Lapsed, Waiting: c.Waiting, Running: c.Granted})
+		for _, w := range c.Servers {
+			s.Servers = append(s.Servers, status.Server{
+				Server:     w.Server,
+				Pool:       c.Cell.Pool,
+				DataCentre: w.DataCentre,
+				State:      string(w.State),
+				Limit:      w.Limit,
+				Running:    w.Running,
+			})
+		}
+	}
+	for _, t := range r.mesh.Stats() {
+		s.PeerBytesIn += uint64(t.In)
+		s.PeerBytesOut += uint64(t.Out)
+	}
+	return s
+}
+
+// onChange logs and counts an operator's request for a change.
+func (r *Router) onChange(ch galenalatch.Change, m message.Result, err error) {
+	r.metrics.Changed(err)
+	switch galenalatch.KindOf(err) {
+	case galenalatch.KindUnauthorized:
+		r.log.Event(events.OperatorRejected, "error", err)
+		return
+	case galenalatch.KindConflict:
+		r.log.Event(events.ChangeConflict, "change", ch.ID, "author", ch.Author)
+		return
+	}
+	if err != nil {
+		r.log.Event(events.ChangePending, "change", ch.ID, "author", ch.Author, "error", err)
+		return
+	}
+	r.log.Event(events.ChangeAccepted, "change", ch.ID, "author", ch.Author, "version", m.Version)
+}
+
+// observer passes the entry's measurements on.
+type observer struct {
+	router *Router
+}
+
+// Granted implements entry.Observer.
+func (o observer) Granted(q galenalatch.Request, wait time.Duration) {
+	o.router.metrics.Waited(q.Workspace, q.Class, wait)
+}
+
+// FirstPiece implements entry.Observer.
+func (observer) FirstPiece(galenalatch.Request, time.Duration) {}
+
+// Ended implements entry.Observer.
+func (o observer) Ended(q galenalatch.Request, took time.Duration, units int64, err error) {
+	if err == nil {
+		o.router.log.Event(events.RequestEnded, "request", q.ID, "workspace", q.Workspace, "pool", q.Pool, "took", took, "units", units)
+		return
+	}
+	n := events.RequestRefused
+	switch galenalatch.OutcomeOf(err) {
+	case galenalatch.OutcomeUnknown:
+		n = events.OutcomeUnknown
+	case galenalatch.Broken:
+		n = events.StreamBroken
+	}
+	o.router.log.Event(n, "request", q.ID, "workspace", q.Workspace, "pool", q.Pool, "error", err)
+}
