Add at-most-once claims

The claim state machine is pure; the store drives it, joins concurrent writes into batches and writes results in the background until they took effect. 500 concurrent claims and their answers are at most 50 calls (TestBatches). A claim whose write may still arrive after the caller was told notRun is prevented by a write that changes the row's tag, so the key neither runs later nor stays blocked. A repetition that sees a conflict it cannot resolve is told that the outcome is unknown, because the request may have run elsewhere.

--- /dev/null
+++ b/internal/platform/claims/store.go
@@ -0,0 +1,178 @@
+// Package claims lets requests with an idempotency key run at most once. The
+// claims are rows of the platform's table; large answers are objects.
+package claims
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/claim"
+)
+
+const (
+	// maxInline is the size of the largest answer that a row holds.
+	maxInline = 64 << 10
+	// maxPendingBytes bounds the answers that wait for the platform. The
+	// claims of further ones stay unfinished, so repeated requests are told
+	// that the outcome is unknown.
+	maxPendingBytes = 64 << 20
+)
+
+// Store makes claims for one process. Its methods may be called concurrently
+// while Run runs.
+type Store struct {
+	table   galenalatch.Table
+	objects galenalatch.ObjectStore
+	config  claim.Config
+	batches batches
+	settles chan *settlement
+	stopped chan struct{}
+
+	mu      sync.Mutex
+	pending int
+	bytes   int
+}
+
+// Option changes a Store.
+type Option func(*Store)
+
+// WithWait replaces the time that a claim of another process is waited for.
+// The default is 10 s.
+func WithWait(d time.Duration) Option {
+	return func(s *Store) { s.config.Wait = d }
+}
+
+// New returns a store over the platform's table and object store.
+func New(t galenalatch.Table, o galenalatch.ObjectStore, opts ...Option) *Store {
+	s := &Store{
+		table:   t,
+		objects: o,
+		config: claim.Config{
+			Wait:    10 * time.Second,
+			Resolve: 3 * time.Second,
+			Poll:    100 * time.Millisecond,
+			MaxPoll: time.Second,
+			Retry:   300 * time.Millisecond,
+		},
+		settles: make(chan *settlement),
+		stopped: make(chan struct{}),
+	}
+	s.batches = batches{table: t, queue: make(chan item), stopped: s.stopped}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Run carries out the writes of all claims until ctx ends. It may be called
+// once.
+func (s *Store) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer close(s.stopped)
+	for range maxInFlight {
+		tasks.Go(func() { s.batches.loop(ctx) })
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case st := <-s.settles:
+			tasks.Go(func() { st.run(ctx) })
+		}
+	}
+}
+
+// Pending returns the number of results that are not yet written.
+func (s *Store) Pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pending
+}
+
+// Claim asks for the right to run the request that the workspace has given
+// the key in the pool. The fingerprint stands for its content.
+//
+// It returns a handle when the caller may send the request; the caller must
+// then call Finish or Release, unless the outcome is unknown. It returns the
+// stored answer when the request has run. Errors are of KindKeyReused,
+// KindInProgress (the request may have run; after a wait of up to 10 s),
+// KindPlatformDown (this call runs nothing), KindUnclear (it has run, but its
+// answer cannot be read) or KindCallerGone.
+func (s *Store) Claim(ctx context.Context, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
+	config := s.config
+	config.Key, config.ID, config.Fingerprint = rowKey(w, p, key), uuid.NewString(), fingerprint
+	c := claim.New(config, time.Now())
+	for c.Verdict() == claim.Open && ctx.Err() == nil {
+		s.step(ctx, c)
+	}
+	c.Abandon()
+	h := &Handle{store: s, claim: c, config: config}
+	if c.MustRelease() || c.Verdict() == claim.Run && ctx.Err() != nil {
+		h.settle(claim.Answer{}, true)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, nil, galenalatch.KindCallerGone.Errorf("claim: %w", err)
+	}
+	switch c.Verdict() {
+	case claim.Run:
+		return h, nil, nil
+	case claim.Replay:
+		a, err := s.load(ctx, *c.Answer())
+		return nil, a, err
+	case claim.KeyReused:
+		return nil, nil, galenalatch.KindKeyReused.Errorf("the key was used for another request")
+	case claim.InProgress:
+		return nil, nil, galenalatch.KindInProgress.Errorf("the request may be running or may have run")
+	}
+	return nil, nil, galenalatch.KindPlatformDown.Errorf("the claim could not be written")
+}
+
+// step takes one step of a claim.
+func (s *Store) step(ctx context.Context, c *claim.Claim) {
+	switch a := c.Next(time.Now()); {
+	case a.Read:
+		row, err := s.table.Get(ctx, c.Key())
+		c.Observe(time.Now(), row, err)
+	case a.Write != nil:
+		row, err := s.batches.put(ctx, *a.Write)
+		c.Result(time.Now(), row, err)
+	case !a.Until.IsZero():
+		t := time.NewTimer(time.Until(a.Until))
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+// load returns a stored answer with its body.
+func (s *Store) load(ctx context.Context, a claim.Answer) (*claim.Answer, error) {
+	if a.Object == "" {
+		return &a, nil
+	}
+	data, err := s.objects.Get(ctx, a.Object)
+	if err == nil {
+		err = json.Unmarshal(data, &a)
+	}
+	if err != nil {
+		return nil, galenalatch.KindUnclear.Errorf("the request has run, but its answer cannot be read: %w", err)
+	}
+	return &a, nil
+}
+
+// rowKey returns the key of a claim's row. The caller's key can have any
+// length and content.
+func rowKey(w galenalatch.WorkspaceName, p galenalatch.PoolName, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "claims/" + url.PathEscape(string(w)) + "/" + url.PathEscape(string(p)) + "/" + hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/platform/claims/store_test.go
@@ -0,0 +1,199 @@
+package claims_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/claim"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+	"github.com/galenalatch/galenalatch/internal/platform/claims"
+	"github.com/galenalatch/galenalatch/internal/platform/object"
+	"github.com/galenalatch/galenalatch/internal/platform/table"
+	"github.com/galenalatch/galenalatch/internal/standin/platform"
+)
+
+// process is a router that only makes claims.
+type process struct {
+	*claims.Store
+	kill func()
+}
+
+func (p process) run(ctx context.Context) {
+	_ = p.Run(ctx)
+}
+
+func start(t *testing.T, s *platform.Server) process {
+	c, err := call.New("http://platform", call.WithTransport(s.Transport()))
+	assert.NilError(t, err)
+	p := process{Store: claims.New(table.New(c), object.New(c))}
+	ctx, cancel := context.WithCancel(t.Context())
+	p.kill = cancel
+	t.Cleanup(cancel)
+	go p.run(ctx)
+	return p
+}
+
+func (p process) claim(t *testing.T, fingerprint string) (*claims.Handle, *claim.Answer, galenalatch.Kind) {
+	h, a, err := p.Claim(t.Context(), "w", "p", "key/1", fingerprint)
+	if err != nil {
+		return h, a, galenalatch.KindOf(err)
+	}
+	return h, a, ""
+}
+
+// bubble runs a test on a synthetic clock with two routers. It ends when late
+// writes have arrived.
+func bubble(t *testing.T, f func(t *testing.T, s *platform.Server, a, b process)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platform.New()
+		f(t, s, start(t, s), start(t, s))
+		s.SetFaults(platform.Faults{})
+		<-time.After(time.Minute)
+	})
+}
+
+// TestReplay guards against a repeated request that runs again, gets a
+// changed answer, or the answer to another body.
+func TestReplay(t *testing.T) {
+	for _, size := range []int{3, 1 << 20} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			bubble(t, func(t *testing.T, s *platform.Server, a, b process) {
+				h, _, kind := a.claim(t, "f")
+				assert.Equal(t, kind, galenalatch.Kind(""))
+				want := claim.Answer{Status: 201, Header: map[string][]string{"X": {"1"}}, Body: bytes.Repeat([]byte{7}, size)}
+				// The response to the write of the row or the object is lost.
+				s.SetFaults(platform.Faults{LoseNext: 1})
+				assert.NilError(t, h.Finish(t.Context(), want))
+				_, got, kind := b.claim(t, "f")
+				assert.Equal(t, kind, galenalatch.Kind(""))
+				assert.Equal(t, got.Status, want.Status)
+				assert.DeepEqual(t, got.Header, want.Header)
+				assert.Assert(t, bytes.Equal(got.Body, want.Body))
+				_, _, kind = b.claim(t, "g")
+				assert.Equal(t, kind, galenalatch.KindKeyReused)
+				s.SetFaults(platform.Faults{Down: true, Targets: []string{"objects"}})
+				_, _, kind = b.claim(t, "f")
+				assert.Equal(t, kind == galenalatch.KindUnclear, size > 64<<10, "a request that has run is not reported as not run")
+			})
+		})
+	}
+}
+
+// TestWait guards against a concurrent repetition that runs too, and against
+// one that is told that nothing has run.
+func TestWait(t *testing.T) {
+	bubble(t, func(t *testing.T, _ *platform.Server, a, b process) {
+		h, _, _ := a.claim(t, "f")
+		began := time.Now()
+		_, _, kind := b.claim(t, "f")
+		assert.Equal(t, kind, galenalatch.KindInProgress)
+		assert.Equal(t, time.Since(began), 10*time.Second)
+
+		finished := time.AfterFunc(3*time.Second, func() { _ = h.Finish(t.Context(), claim.Answer{Status: 200}) })
+		defer finished.Stop()
+		began = time.Now()
+		_, got, kind := b.claim(t, "f")
+		assert.Equal(t, kind, galenalatch.Kind(""))
+		assert.Equal(t, got.Status, 200)
+		assert.Assert(t, time.Since(began) <= 4*time.Second)
+	})
+}
+
+// TestRelease guards against a key that cannot be used after its request was
+// not sent, also when the platform was down at that time.
+func TestRelease(t *testing.T) {
+	bubble(t, func(t *testing.T, s *platform.Server, a, b process) {
+		h, _, _ := a.claim(t, "f")
+		s.SetFaults(platform.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Equal(t, galenalatch.KindOf(h.Release(ctx)), galenalatch.KindUnclear)
+		assert.Equal(t, a.Pending(), 1)
+		_, _, kind := b.claim(t, "f")
+		assert.Equal(t, kind, galenalatch.KindPlatformDown)
+		s.SetFaults(platform.Faults{})
+		<-time.After(time.Second)
+		assert.Equal(t, a.Pending(), 0)
+		h, _, kind = b.claim(t, "f")
+		assert.Equal(t, kind, galenalatch.Kind(""))
+		assert.Assert(t, h != nil)
+	})
+}
+
+// TestFaults guards against a claim that is lost with the response to its
+// write, and against a claim that takes effect after its caller was told that
+// nothing ran: it would block the key or let the request run later.
+func TestFaults(t *testing.T) {
+	for name, tt := range map[string]struct {
+		faults platform.Faults
+		want   galenalatch.Kind
+	}{
+		"lost response":      {platform.Faults{LoseNext: 1}, ""},
+		"all responses lost": {platform.Faults{LoseShare: 1}, ""},
+		"late write":         {platform.Faults{WriteDelayMillis: 1500}, ""},
+		"very late write":    {platform.Faults{WriteDelayMillis: 20000}, galenalatch.KindPlatformDown},
+		"hang":               {platform.Faults{Hang: true}, galenalatch.KindPlatformDown},
+		"writes refused":     {platform.Faults{RefuseWrites: true}, galenalatch.KindPlatformDown},
+		"reads refused":      {platform.Faults{LoseNext: 1, RefuseReads: true}, galenalatch.KindPlatformDown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, s *platform.Server, a, b process) {
+				s.SetFaults(tt.faults)
+				_, _, kind := a.claim(t, "f")
+				assert.Equal(t, kind, tt.want)
+				s.SetFaults(platform.Faults{})
+				<-time.After(30 * time.Second)
+				h, _, kind := b.claim(t, "f")
+				if tt.want == "" {
+					assert.Equal(t, kind, galenalatch.KindInProgress)
+					return
+				}
+				assert.Equal(t, kind, galenalatch.Kind(""))
+				assert.Assert(t, h != nil)
+			})
+		})
+	}
+}
+
+// TestCallerGone guards against a key that stays claimed because its caller
+// went away before the claim was answered.
+func TestCallerGone(t *testing.T) {
+	bubble(t, func(t *testing.T, s *platform.Server, a, b process) {
+		s.SetFaults(platform.Faults{WriteDelayMillis: 900})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, _, err := a.Claim(ctx, "w", "p", "key/1", "f")
+		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
+		<-time.After(5 * time.Second)
+		h, _, kind := b.claim(t, "f")
+		assert.Equal(t, kind, galenalatch.Kind(""))
+		assert.Assert(t, h != nil)
+	})
+}
+
+// TestBatches guards against one call to the platform per claim under load.
+func TestBatches(t *testing.T) {
+	bubble(t, func(t *testing.T, s *platform.Server, a, _ process) {
+		s.SetFaults(platform.Faults{DelayMillis: 20})
+		var callers sync.WaitGroup
+		for i := range 500 {
+			callers.Go(func() {
+				h, _, err := a.Claim(t.Context(), "w", "p", fmt.Sprint(i), "f")
+				assert.Check(t, err)
+				assert.Check(t, h.Finish(t.Context(), claim.Answer{Status: 200}))
+			})
+		}
+		callers.Wait()
+		stats := s.Stats()
+		assert.Equal(t, stats.WrittenRows, int64(1000))
+		assert.Assert(t, stats.Writes <= 50, "%d calls", stats.Writes)
+	})
+}
