Add benchmarks of the cell against two baselines

Discrete event runs at today's size and of the hottest pool at target size, each next to first-come-first-served and static partitioning.

--- /dev/null
+++ b/internal/decide/cell/bench_test.go
@@ -0,0 +1,199 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// today is the size of the two deployments: 12 workers in 4 data centres and
+// 8 entries.
+func today(tenants ...tenant) size {
+	return size{
+		pool:    galenalatch.Pool{Name: "m", Kind: galenalatch.ModelPool, ColdLimit: 2, WarmLimit: 16, MaxCost: 1000, CellsPerDataCentre: 1},
+		centres: 4, workers: 12, nodes: 8, fleet: 8, unit: 40 * time.Millisecond, maxRunning: 64, tenants: tenants,
+	}
+}
+
+// named returns n tenants with the prefix in their names.
+func named(prefix string, n int, x tenant) []tenant {
+	var all []tenant
+	for i := range n {
+		x.name = galenalatch.WorkspaceName(fmt.Sprintf("%s%d", prefix, i))
+		all = append(all, x)
+	}
+	return all
+}
+
+// target returns pool number i of the target size: 27 pools with Zipf
+// popularity share 600 workers and 1,100 backlogged workspaces. A worker runs
+// 91 requests of 392 tokens at 58 ms each, which makes 2,400 requests/s.
+func target(i int) size {
+	harmonic := 0.0
+	for j := range 27 {
+		harmonic += 1 / float64(j+1)
+	}
+	share := 1 / float64(i+1) / harmonic
+	workers := max(6, int(600*share))
+	per := max(1, (workers*4/24+5)/6)
+	return size{
+		pool:    galenalatch.Pool{Name: galenalatch.PoolName(fmt.Sprint("p", i)), Kind: galenalatch.ModelPool, ColdLimit: 8, WarmLimit: 91, MaxCost: 2048, CellsPerDataCentre: per},
+		centres: 6, workers: workers, nodes: max(16, 6*per), fleet: max(1, int(400*share)), unit: 58 * time.Millisecond, maxRunning: 128,
+		tenants: named("w", max(2, int(1100*share)), tenant{class: galenalatch.Interactive, open: 72, cost: 392}),
+	}
+}
+
+func each(b *testing.B, z size, do func(b *testing.B, t *trial)) {
+	for _, p := range policies {
+		b.Run(p, func(b *testing.B) {
+			for b.Loop() {
+				do(b, newTrial(z, p))
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// saturate measures a pool in which every workspace is backlogged.
+func saturate(b *testing.B, t *trial, warm, seconds int) {
+	t.measure(warm)
+	t.reset()
+	t.measure(seconds)
+	gap, mean := t.gap()
+	b.ReportMetric(gap, "gap-units")
+	b.ReportMetric(t.size.bound(), "bound-units")
+	b.ReportMetric(mean, "mean-units")
+	b.ReportMetric(100*t.busy, "util-%")
+	if t.central == nil {
+		if gap > t.size.bound() {
+			b.Errorf("gap %.0f exceeds the bound %.0f", gap, t.size.bound())
+		}
+		busiest, all := t.control(seconds)
+		b.ReportMetric(busiest, "busiest-B/s")
+		b.ReportMetric(all, "mean-B/s/node")
+		b.ReportMetric(float64(t.work.Nanoseconds())/float64(max(1, t.grants)), "ns/grant")
+	}
+}
+
+func BenchmarkTodaySaturated(b *testing.B) {
+	z := today(append(named("large", 3, tenant{class: galenalatch.Interactive, open: 150, cost: 200}),
+		named("small", 13, tenant{class: galenalatch.Interactive, open: 30, cost: 50})...)...)
+	each(b, z, func(b *testing.B, t *trial) { saturate(b, t, 60, 120) })
+}
+
+func BenchmarkTargetHotPool(b *testing.B) {
+	each(b, target(0), func(b *testing.B, t *trial) { saturate(b, t, 120, 60) })
+}
+
+// BenchmarkFlood measures the smallest workspace while another one floods.
+func BenchmarkFlood(b *testing.B) {
+	z := today(append(named("flood", 1, tenant{class: galenalatch.Interactive, open: 2000, cost: 200}),
+		append(named("mid", 14, tenant{class: galenalatch.Interactive, open: 10, cost: 100}),
+			named("tiny", 1, tenant{class: galenalatch.Interactive, rate: 0.2, cost: 50})...)...)...)
+	each(b, z, func(b *testing.B, t *trial) {
+		t.measure(60)
+		t.reset()
+		t.measure(300)
+		b.ReportMetric(t.wait("tiny0", 100), "tiny-worst-wait-s")
+		b.ReportMetric(t.wait("tiny0", 50), "tiny-median-wait-s")
+		b.ReportMetric(100*t.busy, "util-%")
+	})
+}
+
+// BenchmarkLongPlans measures interactive requests while batch requests of
+// the same and of other workspaces fill the pool.
+func BenchmarkLongPlans(b *testing.B) {
+	z := today(append(named("w", 8, tenant{class: galenalatch.Batch, open: 40, cost: 500}),
+		append(named("w", 8, tenant{class: galenalatch.Interactive, rate: 0.5, cost: 30}),
+			named("clerk", 8, tenant{class: galenalatch.Interactive, rate: 0.5, cost: 30})...)...)...)
+	each(b, z, func(b *testing.B, t *trial) {
+		t.measure(60)
+		t.reset()
+		t.measure(300)
+		worst, median := 0.0, 0.0
+		for _, x := range t.tenants {
+			if x.class == galenalatch.Interactive {
+				worst = max(worst, float64(x.waits.Max())/1000)
+				median = max(median, float64(x.waits.ValueAtQuantile(50))/1000)
+			}
+		}
+		b.ReportMetric(worst, "worst-wait-s")
+		b.ReportMetric(median, "worst-median-wait-s")
+		b.ReportMetric(100*t.busy, "util-%")
+	})
+}
+
+// BenchmarkTermStart measures the first minute after all workspaces wake.
+func BenchmarkTermStart(b *testing.B) {
+	z := today(named("w", 16, tenant{class: galenalatch.Interactive, open: 40, cost: 60})...)
+	each(b, z, func(b *testing.B, t *trial) {
+		t.measure(60)
+		t.setAsleep(true)
+		t.measure(120)
+		t.reset()
+		t.setAsleep(false)
+		t.measure(60)
+		gap, _ := t.gap()
+		b.ReportMetric(gap, "gap-units")
+		b.ReportMetric(100*t.busy, "util-%")
+		if t.central == nil {
+			busiest, _ := t.control(60)
+			b.ReportMetric(busiest, "busiest-B/s")
+		}
+	})
+}
+
+func (t *trial) setAsleep(asleep bool) {
+	for _, x := range t.tenants {
+		x.asleep = asleep
+		t.fill(x)
+	}
+}
+
+// BenchmarkDataCentreLeaves measures the service before, while and after one
+// of four data centres is out of service. The baselines lose and regain its
+// slots at once and are never cold.
+func BenchmarkDataCentreLeaves(b *testing.B) {
+	z := today(named("w", 16, tenant{class: galenalatch.Interactive, open: 30, cost: 50})...)
+	each(b, z, func(b *testing.B, t *trial) {
+		t.measure(60)
+		for _, phase := range []string{"before", "out", "back"} {
+			if phase != "before" {
+				t.setOut("d0", phase == "out")
+			}
+			if phase == "out" {
+				t.run(10 * time.Second)
+			}
+			t.reset()
+			t.measure(60)
+			low := int64(1 << 62)
+			for _, x := range t.tenants {
+				low = min(low, x.samples[59]-x.samples[0])
+			}
+			b.ReportMetric(100*t.busy, phase+"-util-%")
+			b.ReportMetric(float64(low), phase+"-lowest-units")
+		}
+	})
+}
+
+// setOut takes a data centre out of service or back in.
+func (t *trial) setOut(d galenalatch.DataCentre, out bool) {
+	t.catalogue = t.catalogue.WithDataCentre(d, out)
+	if t.central != nil {
+		part := t.size.workers / t.size.centres * t.pool.WarmLimit
+		if out {
+			part = -part
+		}
+		t.central.capacity += part
+		t.central.pump()
+		return
+	}
+	for _, n := range t.nodes {
+		for _, h := range n.cells {
+			h.cell.SetCatalogue(t.now, t.catalogue)
+			n.wake(h)
+		}
+	}
+}
--- a/internal/decide/cell/node_test.go
+++ b/internal/decide/cell/node_test.go
@@ -71,7 +71,7 @@
 	if k.server == nil {
 		return 0
 	}
-	return min(k.cost, int64(k.node.world.now.Sub(k.started)/unitTime))
+	return min(k.cost, int64(k.node.world.now.Sub(k.started)/k.node.world.unit))
 }
 
 func (n *node) restart() {
@@ -168,7 +168,9 @@
 	default:
 		for _, id := range sortedCells(n.cells) {
 			h := n.cells[id]
+			before := time.Now()
 			h.cell.Handle(n.world.now, from, m)
+			n.world.onWork(0, time.Since(before))
 			n.wake(h)
 		}
 	}
@@ -198,7 +200,7 @@
 		}
 		n.send(o.To, o.Message)
 	}
-	w.onTick(grants, d)
+	w.onWork(grants, d)
 	at, ok := h.cell.Deadline()
 	if ok && (at != h.wakeAt || !at.After(w.now)) {
 		h.wakeAt = at
--- a/internal/decide/cell/world_test.go
+++ b/internal/decide/cell/world_test.go
@@ -29,10 +29,13 @@
 	onEnd func(*call)
 	// onSend counts messages.
 	onSend    func(from *node, m galenalatch.Message)
-	onTick    func(grants int, d time.Duration)
+	onWork    func(grants int, d time.Duration)
 	catalogue galenalatch.Catalogue
 	loadLag   time.Duration
 	leases    bool
+	// unit is the running time of one service unit.
+	unit    time.Duration
+	onStart func(*call)
 }
 
 type event struct {
@@ -91,9 +94,11 @@
 		fail:      func(f string, a ...any) { panic(fmt.Sprintf(f, a...)) },
 		onEnd:     func(*call) {},
 		onSend:    func(*node, galenalatch.Message) {},
-		onTick:    func(int, time.Duration) {},
+		onWork:    func(int, time.Duration) {},
 		catalogue: galenalatch.Catalogue{Version: 1, Pools: []galenalatch.Pool{pool}},
 		loadLag:   100 * time.Millisecond,
+		unit:      40 * time.Millisecond,
+		onStart:   func(*call) {},
 	}
 }
 
@@ -170,7 +175,8 @@
 	}
 	s.running[k] = true
 	k.server, k.started, k.serverBoot = s, w.now, s.boots
-	k.duration = time.Duration(k.cost) * unitTime
+	k.duration = time.Duration(k.cost) * w.unit
+	w.onStart(k)
 	boot, serial := s.boots, k.serial
 	w.after(k.duration, func() {
 		if s.boots != boot || k.server != s || k.serial != serial {
@@ -187,9 +193,6 @@
 	k.server = nil
 }
 
-// unitTime is the running time of one service unit.
-const unitTime = 40 * time.Millisecond
-
 // coldRestart replaces the process of the server.
 func (s *fakeServer) coldRestart() {
 	s.boots++
