--- a/internal/decide/cell/bench_test.go
+++ b/internal/decide/cell/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +15,7 @@
 func today(tenants ...tenant) size {
 	return size{
 		pool:    galenalatch.Pool{Name: "m", Kind: galenalatch.ModelPool, ColdLimit: 2, WarmLimit: 16, MaxCost: 1000, CellsPerDataCentre: 1},
-		centres: 4, workers: 12, nodes: 8, fleet: 8, unit: 40 * time.Millisecond, maxRunning: 64, tenants: tenants,
+		centres: 4, workers: 12, nodes: 8, unit: 40 * time.Millisecond, maxRunning: 64, tenants: tenants,
 	}
 }
 
@@ -40,7 +42,7 @@
 	per := max(1, (workers*4/24+5)/6)
 	return size{
 		pool:    galenalatch.Pool{Name: galenalatch.PoolName(fmt.Sprint("p", i)), Kind: galenalatch.ModelPool, ColdLimit: 8, WarmLimit: 91, MaxCost: 2048, CellsPerDataCentre: per},
-		centres: 6, workers: workers, nodes: max(16, 6*per), fleet: max(1, int(400*share)), unit: 58 * time.Millisecond, maxRunning: 128,
+		centres: 6, workers: workers, nodes: max(6*per, int(400*share)), unit: 58 * time.Millisecond, maxRunning: 128,
 		tenants: named("w", max(2, int(1100*share)), tenant{class: galenalatch.Interactive, open: 72, cost: 392}),
 	}
 }
@@ -73,6 +75,9 @@
 		busiest, all := t.control(seconds)
 		b.ReportMetric(busiest, "busiest-B/s")
 		b.ReportMetric(all, "mean-B/s/node")
+		for _, k := range slices.Sorted(maps.Keys(t.byType)) {
+			b.Logf("%-10s %8.0f B/s/node", k, float64(t.byType[k])/float64(seconds*len(t.nodes)))
+		}
 		b.ReportMetric(float64(t.work.Nanoseconds())/float64(max(1, t.grants)), "ns/grant")
 	}
 }
--- a/internal/decide/cell/load_test.go
+++ b/internal/decide/cell/load_test.go
@@ -38,9 +38,8 @@
 	centres int
 	// workers is the number of servers of the pool.
 	workers int
-	nodes   int
-	// fleet is the number of nodes over which control traffic is averaged.
-	fleet      int
+	// nodes is the pool's part of the routers.
+	nodes      int
 	unit       time.Duration
 	maxRunning int
 	tenants    []tenant
@@ -58,6 +57,7 @@
 	ids     []galenalatch.CellID
 	calls   int
 	bytes   map[*node]int64
+	byType  map[string]int64
 	work    time.Duration
 	grants  int
 	busy    float64
@@ -70,7 +70,7 @@
 	w := newWorld(7, z.pool)
 	w.unit, w.config = z.unit, z.config
 	w.catalogue.DefaultLimits = galenalatch.Entry{Weight: 1, MaxRunning: z.maxRunning}
-	t := &trial{world: w, size: z, byCall: map[*call]*tenant{}, bytes: map[*node]int64{}}
+	t := &trial{world: w, size: z, byCall: map[*call]*tenant{}, bytes: map[*node]int64{}, byType: map[string]int64{}}
 	w.onStart, w.onEnd = t.started, t.ended
 	for _, x := range z.tenants {
 		x.weight = max(1, x.weight)
@@ -108,6 +108,7 @@
 		}
 		// The type of the message and the header of its frame.
 		t.bytes[n] += int64(len(b)) + 16
+		t.byType[m.MessageType()] += int64(len(b)) + 16
 	}
 	per := max(1, z.pool.CellsPerDataCentre)
 	for i := range z.centres {
@@ -193,7 +194,7 @@
 
 // reset starts a new measurement.
 func (t *trial) reset() {
-	t.bytes, t.work, t.grants, t.busy = map[*node]int64{}, 0, 0, 0
+	t.bytes, t.byType, t.work, t.grants, t.busy = map[*node]int64{}, map[string]int64{}, 0, 0, 0
 	for _, x := range t.tenants {
 		x.samples, x.everIdle = nil, false
 		x.waits.Reset()
@@ -269,7 +270,7 @@
 		busiest = max(busiest, float64(b))
 		mean += float64(b)
 	}
-	return busiest / float64(seconds), mean / float64(seconds*max(t.size.fleet, len(t.nodes)))
+	return busiest / float64(seconds), mean / float64(seconds*len(t.nodes))
 }
 
 // central is a dispatcher with perfect knowledge that applies a baseline
