--- a/internal/decide/warmup/server.go
+++ b/internal/decide/warmup/server.go
@@ -51,6 +51,8 @@
 	generation int
 	completed  int
 	slots      map[uint64]*slot
+	// live is the number of slots under the current boot identity.
+	live int
 	// ended holds the times of recent ends, to know how many requests the
 	// table counted at the time of a load report.
 	ended []time.Time
@@ -74,7 +76,7 @@
 	if s.slots == nil {
 		s.slots = make(map[uint64]*slot)
 	}
-	s.boot = ""
+	s.setBoot("")
 	s.generation++
 	s.completed = 0
 	s.recent, s.average, s.samples = 0, 0, 0
@@ -89,7 +91,7 @@
 		if s.boot != "" {
 			s.chill()
 		}
-		s.boot = l.Boot
+		s.setBoot(l.Boot)
 		s.takeHanded()
 	}
 	s.foreign = max(0, l.Running+l.Waiting-s.countedAt(sampled))
@@ -161,19 +163,23 @@
 	if s.samples >= latencySamples && s.recent > s.table.tuning.LatencyFactor*s.average {
 		boot := s.boot
 		s.chill()
-		s.boot = boot
+		s.setBoot(boot)
 	}
 }
 
-// load returns the number of requests that run on the server.
-func (s *server) load() int {
-	n := s.foreign
+func (s *server) setBoot(b galenalatch.BootID) {
+	s.boot = b
+	s.live = 0
 	for _, p := range s.slots {
-		if p.boot == s.boot {
-			n++
+		if p.boot == b {
+			s.live++
 		}
 	}
-	return n
+}
+
+// load returns the number of requests that run on the server.
+func (s *server) load() int {
+	return s.live + s.foreign
 }
 
 // coldShare is the part of the cold limit that this holder may use. The part
@@ -242,7 +248,7 @@
 		}
 		all = append(all, Status{
 			Server: s.id, DataCentre: s.dataCentre, State: state, Boot: s.boot,
-			Limit: s.limit(now), Running: s.load() - s.foreign, Foreign: s.foreign,
+			Limit: s.limit(now), Running: s.live, Foreign: s.foreign,
 		})
 	}
 	return all
--- a/internal/decide/warmup/servers.go
+++ b/internal/decide/warmup/servers.go
@@ -201,6 +201,9 @@
 	p := &slot{server: s, boot: boot, generation: s.generation, started: now}
 	t.slots[key] = p
 	s.slots[key] = p
+	if boot == s.boot {
+		s.live++
+	}
 }
 
 // Has reports whether the server is in the table.
@@ -242,6 +245,7 @@
 	if p.boot != s.boot {
 		return true
 	}
+	s.live--
 	s.noteEnd(now)
 	switch {
 	case e.Failed:
