--- a/internal/caller/openai/chat.go
+++ b/internal/caller/openai/chat.go
@@ -1,7 +1,9 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"mime"
 	"net/http"
 	"strings"
@@ -49,11 +51,12 @@
 		return nil, galenalatch.KindBadRequest.Errorf("header Content-Encoding: %.60q is not allowed; allowed: identity", v)
 	}
 	c := &chat{choices: 1}
-	if err := json.Unmarshal(data, &c.fields); err != nil || c.fields == nil {
-		if err == nil {
-			return nil, galenalatch.KindBadRequest.Errorf("the body is null; allowed: a JSON object")
-		}
-		return nil, galenalatch.KindBadRequest.Errorf("the body is not a JSON object: %s", strings.TrimPrefix(err.Error(), "json: "))
+	var syntax *json.SyntaxError
+	switch err := json.Unmarshal(data, &c.fields); {
+	case errors.As(err, &syntax):
+		return nil, galenalatch.KindBadRequest.Errorf("the body is not valid JSON at byte %d: %w", syntax.Offset, err)
+	case err != nil || c.fields == nil:
+		return nil, galenalatch.KindBadRequest.Errorf("the body: %s is not allowed; allowed: a JSON object", shown(bytes.TrimSpace(data)))
 	}
 	for _, check := range []func() error{c.readModel, c.readMessages, c.readStream, c.readTokens, c.readSampling} {
 		if err := check(); err != nil {
--- a/internal/caller/reply/message.go
+++ b/internal/caller/reply/message.go
@@ -9,16 +9,17 @@
 
 // sentences tell callers what each kind means. Kinds that come from the
 // caller's own request are followed by the error's text. The text of the
-// others may name addresses and keys of the fleet and is left out.
+// others may name addresses and keys of the fleet and is left out. The
+// sentences say nothing of the outcome, which an error can override.
 var sentences = map[galenalatch.Kind]string{
 	galenalatch.KindOutOfService:    "no backend server of the pool is in service",
 	galenalatch.KindCatalogueStale:  "this router cannot confirm its configuration, try another router",
 	galenalatch.KindNoDispatcher:    "no dispatcher of the pool can be reached",
 	galenalatch.KindPlatformDown:    "the platform does not answer",
-	galenalatch.KindUnclear:         "a write to the platform got no answer, it may have taken effect",
+	galenalatch.KindUnclear:         "a write to the platform got no answer",
 	galenalatch.KindBootMismatch:    "the backend server restarted before the request was sent",
 	galenalatch.KindServerUnreached: "the backend server could not be reached",
-	galenalatch.KindServerBroke:     "the backend server closed the connection, the request may have run",
+	galenalatch.KindServerBroke:     "the backend server closed the connection",
 	galenalatch.KindStreamBroke:     "the answer broke off and is not complete",
 	galenalatch.KindStaleGrant:      "the permission to send the request expired before it was sent",
 	galenalatch.KindShuttingDown:    "this router is shutting down, try another router",
