--- /dev/null
+++ b/internal/caller/plain/handler_test.go
@@ -0,0 +1,177 @@
+package plain_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/caller/connections"
+	"github.com/galenalatch/galenalatch/internal/caller/plain"
+)
+
+// fake is a Submitter that records requests.
+type fake struct {
+	got []galenalatch.Request
+	err error
+}
+
+func (f *fake) Submit(_ context.Context, r galenalatch.Request, s galenalatch.Sink) error {
+	f.got = append(f.got, r)
+	if err := s.Head(201, http.Header{"Content-Type": {"text/event-stream"}, "Location": {"/pickups/1"}}); err != nil {
+		return err
+	}
+	if err := s.Piece([]byte("data: 1\n\n")); err != nil {
+		return err
+	}
+	return f.err
+}
+
+func catalogue() galenalatch.Catalogue {
+	return galenalatch.Catalogue{Pools: []galenalatch.Pool{
+		{Name: "records", Kind: galenalatch.PlainPool, Routes: []galenalatch.Route{{Method: "POST", PathPrefix: "/status/", Repeatable: true}}},
+		{Name: "model", Kind: galenalatch.ModelPool, Models: []string{"x"}},
+	}}
+}
+
+func workspace(r *http.Request) (galenalatch.WorkspaceName, error) {
+	if r.Header.Get("Authorization") == "" {
+		return "", galenalatch.KindUnauthorized.Errorf("no key")
+	}
+	return "market", nil
+}
+
+func start(t *testing.T, f *fake, options ...plain.Option) *httptest.Server {
+	s := httptest.NewServer(plain.New(f, catalogue, workspace, options...))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func call(t *testing.T, s *httptest.Server, method, target string, header ...string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(method, s.URL+target, strings.NewReader("body"))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(header); i += 2 {
+		r.Header[header[i]] = append(r.Header[header[i]], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	return resp
+}
+
+// Guards against a call that reaches another path or method than the caller
+// named, that is repeated although it may not be, or that loses its key.
+func TestCalls(t *testing.T) {
+	f := &fake{}
+	s := start(t, f)
+	var b strings.Builder
+	for _, c := range []struct {
+		method, target string
+		header         []string
+	}{
+		{"POST", "/services/records/pickups?x=1&y=%2F", []string{"Idempotency-Key", "k 1~", "X-Class", "batch"}},
+		{"POST", "/services/records/status/7", []string{"X-Http-Method-Override", "DELETE", "Cookie", "c", "X-Inner", "1", "Connection", "X-Inner"}},
+		{"POST", "/services/records/status", nil},
+		{"GET", "/services/records/", []string{"X-Request-Id", "mine", "Accept-Language", "fil"}},
+		{"DELETE", "/services/records/pickups/caf%C3%A9%20/", nil},
+		{"PATCH", "/services/records/a..b/.c", nil},
+	} {
+		resp := call(t, s, c.method, c.target, c.header...)
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), "data: 1\n\n")
+		assert.Equal(t, resp.StatusCode, 201)
+		q := f.got[len(f.got)-1]
+		assert.Equal(t, resp.Header.Get("X-Request-Id"), string(q.ID))
+		assert.Equal(t, q.Header.Get("X-Request-Id"), string(q.ID))
+		assert.Equal(t, string(q.Body), "body")
+		q.Header.Del("X-Request-Id")
+		q.Header.Del("User-Agent")
+		q.Header.Del("Accept-Encoding")
+		fmt.Fprintf(&b, "%s %s\n  %s %s %s pool=%s class=%s repeatable=%t key=%q header=%v\n", c.method, c.target,
+			q.Workspace, q.Method, q.Path, q.Pool, q.Class, q.Repeatable, q.Key, q.Header)
+	}
+	golden.Assert(t, b.String(), "calls.golden")
+}
+
+// Guards against bad calls that reach a backend server.
+func TestBadCalls(t *testing.T) {
+	f := &fake{}
+	s := start(t, f, plain.WithBodyLimit(3))
+	var b strings.Builder
+	for _, c := range []struct {
+		method, target string
+		header         []string
+	}{
+		{"OPTIONS", "/services/records/x", nil},
+		{"CONNECT", "/services/records/x", nil},
+		{"GET", "/services/", nil},
+		{"GET", "/services/records", nil},
+		{"GET", "/services//x", nil},
+		{"GET", "/services/none/x", nil},
+		{"GET", "/services/model/x", nil},
+		{"POST", "/services/records/status/../pickups", nil},
+		{"POST", "/services/records/status/%2e%2e/pickups", nil},
+		{"POST", "/services/records/status/..%2fpickups", nil},
+		{"POST", "/services/records/status/..%5Cpickups", nil},
+		{"POST", "/services/records/status/..;/pickups", nil},
+		{"POST", "/services/records/status//x", nil},
+		{"POST", "/services/records/./x", nil},
+		{"POST", "/services/records/status/..", nil},
+		{"POST", "/services/records/x%00", nil},
+		{"POST", "/services/records/x", []string{"X-Class", "urgent"}},
+		{"POST", "/services/records/x", []string{"Idempotency-Key", ""}},
+		{"POST", "/services/records/x", []string{"Idempotency-Key", strings.Repeat("k", 256)}},
+		{"POST", "/services/records/x", []string{"Idempotency-Key", "caf\xc3\xa9"}},
+		{"POST", "/services/records/x", []string{"Idempotency-Key", "a", "Idempotency-Key", "b"}},
+		{"POST", "/services/records/x", nil},
+	} {
+		resp := call(t, s, c.method, c.target, c.header...)
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Header.Get("X-Outcome"), "notRun", "%s: %s", c.target, data)
+		_, text, _ := strings.Cut(string(data), `"message":`)
+		text, _, _ = strings.Cut(text, `,"type"`)
+		fmt.Fprintf(&b, "%s %s %.40q: %d %s\n", c.method, c.target, c.header, resp.StatusCode, text)
+	}
+	golden.Assert(t, b.String(), "bad.golden")
+	assert.Equal(t, len(f.got), 0)
+}
+
+// Guards against a broken body that looks whole, also for event streams,
+// which have no agreed end in plain services.
+func TestBreak(t *testing.T) {
+	s := start(t, &fake{err: galenalatch.KindServerBroke.Errorf("reset")})
+	resp := call(t, s, "GET", "/services/records/x")
+	_, err := io.ReadAll(resp.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// Guards against a workspace that holds more requests than its limit, and
+// against a limit that counts ended requests.
+func TestLimit(t *testing.T) {
+	l := connections.New(1)
+	f := &fake{}
+	s := start(t, f, plain.WithLimit(l.Acquire))
+	release, err := l.Acquire("market")
+	assert.NilError(t, err)
+	assert.Equal(t, call(t, s, "GET", "/services/records/x").StatusCode, 429)
+	_, err = l.Acquire("other")
+	assert.NilError(t, err)
+	release()
+	release()
+	for range 3 {
+		resp := call(t, s, "GET", "/services/records/x")
+		assert.Equal(t, resp.StatusCode, 201)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+	}
+}
--- a/internal/telemetry/metrics/busiest.go
+++ b/internal/telemetry/metrics/busiest.go
@@ -25,8 +25,8 @@
 
 // busiest chooses the workspaces with series of their own.
 //
-// A workspace joins when it ends its first request while there are fewer
-// than 64 in the set. After that the set is chosen anew every 10 minutes, by
+// A workspace joins when it is first seen while there are fewer than 64 in
+// the set. After that the set is chosen anew every 10 minutes, by
 // the requests ended in these 10 minutes: the busiest workspace outside takes
 // the place of the quietest inside when it ended at least twice as many, and
 // so on. The factor keeps workspaces of about the same load from changing
@@ -67,13 +67,13 @@
 	if _, ok := b.ended[w]; ok || len(b.ended) < most {
 		b.ended[w]++
 	}
-	if len(b.set) < places && w != other {
-		b.set[w] = true
-	}
 	f(b.label(w))
 }
 
 func (b *busiest) label(w galenalatch.WorkspaceName) string {
+	if len(b.set) < places && w != other {
+		b.set[w] = true
+	}
 	if b.set[w] {
 		return string(w)
 	}
