--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -49,7 +49,7 @@
 	c.action(cat.Command("get", "Print the catalogue."), c.get)
 	apply := c.action(cat.Command("apply", "Apply a change or a whole catalogue."), c.apply)
 	apply.Arg("file", "JSON file with the change.").Required().StringVar(&c.file)
-	apply.Flag("base", "Version that the change starts from. By default the current one.").Default("-1").Int64Var(&c.base)
+	apply.Flag("base", "Version that the change starts from. By default the current one, or that of a whole catalogue.").Default("-1").Int64Var(&c.base)
 	apply.Flag("whole", "The file holds a whole catalogue; what differs is changed.").BoolVar(&c.whole)
 	c.authorFlag(apply)
 	diff := c.action(cat.Command("diff", "Print the change that turns the current catalogue into the one of a file."), c.diff)
@@ -179,6 +179,9 @@
 		return err
 	}
 	base := galenalatch.Version(max(0, c.base))
+	if c.base < 0 {
+		base = whole.Version
+	}
 	id := uuid.NewString()
 	var res message.Result
 	err := c.first(ctx, func(cl *client.Client) error {
@@ -188,10 +191,12 @@
 			if err != nil {
 				return err
 			}
-			if c.base >= 0 && *d.Base != base {
-				return galenalatch.KindConflict.Errorf("the current version is %d, not %d", *d.Base, base)
+			// Otherwise a file made from an older version would undo the
+			// changes since then.
+			if *d.Base != base {
+				return galenalatch.KindConflict.Errorf("the file is based on version %d, the current version is %d", base, *d.Base)
 			}
-			ch, base = d.Change, *d.Base
+			ch = d.Change
 		case c.base < 0:
 			now, err := cl.Catalogue(ctx)
 			if err != nil {
