Bound the body bytes that a router holds for a workspace

A workspace could have 512 requests with bodies of 4 MB read at once, 2 GB on a small instance. The limit counts bytes before they are read. A status that net/http does not accept no longer ends the handler by a panic.

--- a/internal/caller/body/reader.go
+++ b/internal/caller/body/reader.go
@@ -23,11 +23,28 @@
 }
 
 // Read returns the body of r. Errors are of KindTooLarge, KindBadRequest or
-// KindCallerGone.
-func (b Reader) Read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength > b.Limit {
-		return nil, galenalatch.KindTooLarge.Errorf("the body has %d bytes, at most %d are allowed", r.ContentLength, b.Limit)
+// KindCallerGone, or those of hold, which is called with the number of bytes
+// before they are read. A body without a known length counts as the largest
+// one until it has been read.
+func (b Reader) Read(w http.ResponseWriter, r *http.Request, hold func(n int64) error) ([]byte, error) {
+	expected := r.ContentLength
+	if expected > b.Limit {
+		return nil, galenalatch.KindTooLarge.Errorf("the body has %d bytes, at most %d are allowed", expected, b.Limit)
 	}
+	if expected < 0 {
+		expected = b.Limit
+	}
+	if err := hold(expected); err != nil {
+		return nil, err
+	}
+	data, err := b.read(w, r)
+	if err != nil {
+		return nil, err
+	}
+	return data, hold(int64(len(data)) - expected)
+}
+
+func (b Reader) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	c := http.NewResponseController(w)
 	// Writers without deadlines, such as recorders, do not block.
 	_ = c.SetReadDeadline(time.Now().Add(b.Timeout))
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/caller/body"
+	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/reply"
 )
 
@@ -30,7 +31,7 @@
 	submitter galenalatch.Submitter
 	current   func() galenalatch.Catalogue
 	workspace func(*http.Request) (galenalatch.WorkspaceName, error)
-	acquire   func(galenalatch.WorkspaceName) (func(), error)
+	limit     *connections.Limit
 	observe   func(r galenalatch.Request, err error, first, total time.Duration)
 	reader    body.Reader
 }
@@ -43,10 +44,9 @@
 	return func(h *Handler) { h.reader.Limit = n }
 }
 
-// WithLimit bounds the requests of a workspace. The function returned by
-// acquire is called when the request has ended.
-func WithLimit(acquire func(galenalatch.WorkspaceName) (func(), error)) Option {
-	return func(h *Handler) { h.acquire = acquire }
+// WithLimit bounds what is held for a workspace. Handlers can share a limit.
+func WithLimit(l *connections.Limit) Option {
+	return func(h *Handler) { h.limit = l }
 }
 
 // WithObserver calls observe at the end of each request. The time to the
@@ -64,7 +64,6 @@
 		submitter: s,
 		current:   current,
 		workspace: workspace,
-		acquire:   func(galenalatch.WorkspaceName) (func(), error) { return func() {}, nil },
 		observe:   func(galenalatch.Request, error, time.Duration, time.Duration) {},
 		reader:    body.Reader{Limit: 4 << 20, Timeout: 30 * time.Second},
 	}
@@ -90,15 +89,15 @@
 	if q.Workspace, err = h.workspace(r); err != nil {
 		return err
 	}
-	release, err := h.acquire(q.Workspace)
+	held, err := h.limit.Acquire(q.Workspace)
 	if err != nil {
 		return err
 	}
-	defer release()
+	defer held.Release()
 	model, one := strings.CutPrefix(r.URL.Path, ModelsPath+"/")
 	switch {
 	case r.URL.Path == ChatPath && r.Method == http.MethodPost:
-		return h.chat(w, r, q, s)
+		return h.chat(w, r, q, s, held)
 	case r.URL.Path == ChatPath:
 		return wrongMethod(w, r, http.MethodPost)
 	case r.URL.Path != ModelsPath && !one:
@@ -116,7 +115,7 @@
 	return galenalatch.KindBadRequest.Errorf("method %.16q is not allowed at this path; allowed: %s", r.Method, allowed)
 }
 
-func (h *Handler) chat(w http.ResponseWriter, r *http.Request, q *galenalatch.Request, s *sink) error {
+func (h *Handler) chat(w http.ResponseWriter, r *http.Request, q *galenalatch.Request, s *sink, held *connections.Held) error {
 	q.Class = galenalatch.Class(r.Header.Get(ClassHeader))
 	if q.Class == "" {
 		q.Class = galenalatch.Interactive
@@ -124,7 +123,7 @@
 	if !q.Class.Valid() {
 		return galenalatch.KindBadRequest.Errorf("header %s: %.60q is not allowed; allowed: interactive, batch", ClassHeader, string(q.Class))
 	}
-	data, err := h.reader.Read(w, r)
+	data, err := h.reader.Read(w, r, held.Grow)
 	if err != nil {
 		return err
 	}
--- a/internal/caller/openai/sdk_test.go
+++ b/internal/caller/openai/sdk_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/caller/auth"
+	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/openai"
 )
 
@@ -200,7 +201,7 @@
 func TestRequest(t *testing.T) {
 	f := &fake{status: 200, kind: "application/json", pieces: []string{whole}}
 	var observed galenalatch.Request
-	_, client := start(t, f, openai.WithObserver(func(r galenalatch.Request, err error, first, total time.Duration) {
+	_, client := start(t, f, openai.WithLimit(connections.New(1, 1000)), openai.WithObserver(func(r galenalatch.Request, err error, first, total time.Duration) {
 		assert.Check(t, err == nil && first > 0 && total >= first)
 		observed = r
 	}))
@@ -222,6 +223,9 @@
 	assert.NilError(t, json.Unmarshal(q.Body, &sent))
 	assert.Equal(t, sent["top_k"], 5.0)
 	assert.Equal(t, sent["stream_options"], nil)
+	// The limit of one request must not count the first.
+	_, err = client.Chat.Completions.New(t.Context(), p)
+	assert.NilError(t, err)
 }
 
 // Guards against bad requests that reach a backend server, and against
--- a/internal/caller/plain/handler.go
+++ b/internal/caller/plain/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/caller/body"
+	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/reply"
 )
 
@@ -38,7 +39,7 @@
 	submitter galenalatch.Submitter
 	current   func() galenalatch.Catalogue
 	workspace func(*http.Request) (galenalatch.WorkspaceName, error)
-	acquire   func(galenalatch.WorkspaceName) (func(), error)
+	limit     *connections.Limit
 	observe   func(r galenalatch.Request, err error, first, total time.Duration)
 	reader    body.Reader
 }
@@ -51,10 +52,9 @@
 	return func(h *Handler) { h.reader.Limit = n }
 }
 
-// WithLimit bounds the requests of a workspace. The function returned by
-// acquire is called when the request has ended.
-func WithLimit(acquire func(galenalatch.WorkspaceName) (func(), error)) Option {
-	return func(h *Handler) { h.acquire = acquire }
+// WithLimit bounds what is held for a workspace. Handlers can share a limit.
+func WithLimit(l *connections.Limit) Option {
+	return func(h *Handler) { h.limit = l }
 }
 
 // WithObserver calls observe at the end of each request. The time to the
@@ -72,7 +72,6 @@
 		submitter: s,
 		current:   current,
 		workspace: workspace,
-		acquire:   func(galenalatch.WorkspaceName) (func(), error) { return func() {}, nil },
 		observe:   func(galenalatch.Request, error, time.Duration, time.Duration) {},
 		reader:    body.Reader{Limit: 4 << 20, Timeout: 30 * time.Second},
 	}
@@ -98,11 +97,11 @@
 	if q.Workspace, err = h.workspace(r); err != nil {
 		return err
 	}
-	release, err := h.acquire(q.Workspace)
+	held, err := h.limit.Acquire(q.Workspace)
 	if err != nil {
 		return err
 	}
-	defer release()
+	defer held.Release()
 	if !slices.Contains(methods, r.Method) {
 		w.Header().Set("Allow", strings.Join(methods, ", "))
 		return galenalatch.KindBadRequest.Errorf("method %.16q is not allowed; allowed: %s", r.Method, strings.Join(methods, ", "))
@@ -122,7 +121,7 @@
 	q.Path = onServer(r.URL)
 	q.Repeatable = p.Repeatable(r.Method, clean)
 	q.Header = forwarded(r.Header, q.ID)
-	if q.Body, err = h.reader.Read(w, r); err != nil {
+	if q.Body, err = h.reader.Read(w, r, held.Grow); err != nil {
 		return err
 	}
 	if err := h.submitter.Submit(r.Context(), *q, s); err != nil {
--- a/internal/caller/plain/handler_test.go
+++ b/internal/caller/plain/handler_test.go
@@ -155,23 +155,33 @@
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
-// Guards against a workspace that holds more requests than its limit, and
-// against a limit that counts ended requests.
+// Guards against a workspace that holds more requests or bytes than its
+// limit, and against a limit that counts ended requests.
 func TestLimit(t *testing.T) {
-	l := connections.New(1)
-	f := &fake{}
-	s := start(t, f, plain.WithLimit(l.Acquire))
-	release, err := l.Acquire("market")
+	l := connections.New(2, 10)
+	s := start(t, &fake{}, plain.WithLimit(l), plain.WithBodyLimit(8))
+	status := func() int {
+		resp := call(t, s, "GET", "/services/records/x")
+		_, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp.StatusCode
+	}
+	first, err := l.Acquire("market")
+	assert.NilError(t, err)
+	second, err := l.Acquire("market")
 	assert.NilError(t, err)
-	assert.Equal(t, call(t, s, "GET", "/services/records/x").StatusCode, 429)
 	_, err = l.Acquire("other")
 	assert.NilError(t, err)
-	release()
-	release()
+	assert.Equal(t, status(), 429)
+	first.Release()
+	first.Release()
 	for range 3 {
-		resp := call(t, s, "GET", "/services/records/x")
-		assert.Equal(t, resp.StatusCode, 201)
-		_, err = io.ReadAll(resp.Body)
-		assert.NilError(t, err)
+		assert.Equal(t, status(), 201)
 	}
+	assert.NilError(t, second.Grow(7))
+	assert.Equal(t, status(), 429)
+	assert.NilError(t, second.Grow(-1))
+	assert.Equal(t, status(), 201)
+	second.Release()
+	assert.Equal(t, status(), 201)
 }
--- a/internal/caller/reply/writer.go
+++ b/internal/caller/reply/writer.go
@@ -66,6 +66,9 @@
 	if w.head {
 		return nil
 	}
+	if status < 200 || status > 999 {
+		return galenalatch.KindServerBroke.Errorf("the backend server answered with status %d", status)
+	}
 	w.head, w.status = true, status
 	kind, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
 	w.stream = w.events && kind == "text/event-stream"
--- a/internal/caller/reply/writer_test.go
+++ b/internal/caller/reply/writer_test.go
@@ -147,10 +147,12 @@
 	return r.StatusCode, string(data)
 }
 
-// Guards against a backend server that speaks for the router, and against
-// headers of its connection on the caller's.
+// Guards against a backend server that speaks for the router, against
+// headers of its connection on the caller's, and against a status that
+// net/http does not accept.
 func TestHeaders(t *testing.T) {
 	s := serve(t, func(w *reply.Writer) {
+		assert.Check(t, w.Head(0, nil) != nil && w.Head(101, nil) != nil && w.Head(1000, nil) != nil)
 		assert.Check(t, w.Head(200, http.Header{
 			"X-Outcome": {"notRun"}, "X-Request-Id": {"other"}, "Connection": {"close, X-Inner"}, "X-Inner": {"1"},
 			"Keep-Alive": {"1"}, "Etag": {"x"},
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -79,6 +79,8 @@
 		// ConnectionsPerWorkspace bounds the requests of one workspace that
 		// this router holds at once.
 		ConnectionsPerWorkspace int `json:"connectionsPerWorkspace" validate:"min=1,max=100000"`
+		// HeldBytesPerWorkspace bounds the bytes of their bodies.
+		HeldBytesPerWorkspace int64 `json:"heldBytesPerWorkspace" validate:"min=1024,max=17179869184,gtefield=BodyBytes"`
 	} `json:"limits"`
 }
 
@@ -100,6 +102,7 @@
 	s.Limits.BodyBytes = 4 << 20
 	s.Limits.MessageBytes = 256 << 10
 	s.Limits.ConnectionsPerWorkspace = 512
+	s.Limits.HeldBytesPerWorkspace = 64 << 20
 	return s
 }
 
--- a/internal/operator/api/handler.go
+++ b/internal/operator/api/handler.go
@@ -154,7 +154,7 @@
 
 // decode reads the request's body into v.
 func (h *Handler) decode(w http.ResponseWriter, r *http.Request, v any) error {
-	data, err := h.reader.Read(w, r)
+	data, err := h.reader.Read(w, r, func(int64) error { return nil })
 	if err != nil {
 		return err
 	}
--- a/internal/operator/commands/commands_test.go
+++ b/internal/operator/commands/commands_test.go
@@ -115,8 +115,10 @@
 				Running: map[galenalatch.WorkspaceName]int{"graz": 2},
 			}
 		},
-		Accepted:  func(galenalatch.Version) (int, int) { return r.held, 8 },
-		Instances: func() []galenalatch.Instance { return []galenalatch.Instance{{ID: "s1", Role: "server", DataCentre: "a"}} },
+		Accepted: func(galenalatch.Version) (int, int) { return r.held, 8 },
+		Instances: func() []galenalatch.Instance {
+			return []galenalatch.Instance{{ID: "s1", Role: "server", DataCentre: "a"}}
+		},
 	}, diff, auth.Token(token), api.WithWait(100*time.Millisecond))
 	r.Server = httptest.NewServer(h)
 	t.Cleanup(r.Close)
