--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -40,9 +40,8 @@
 		Transport: &http.Transport{
 			DialContext:       (&net.Dialer{Timeout: 3 * time.Second}).DialContext,
 			ForceAttemptHTTP2: true,
-			// A new connection for each call: a reused one can break after
-			// the request was sent, and net/http would then not send a
-			// change again, but report an error of unclear effect.
+			// A client makes few calls, and idle connections would outlive
+			// it.
 			DisableKeepAlives: true,
 		},
 		// A redirect would carry the token to another address.
@@ -121,6 +120,9 @@
 func (c *Client) Diff(ctx context.Context, target galenalatch.Catalogue) (message.Apply, error) {
 	var v message.Apply
 	err := c.call(ctx, c.path(message.DiffPath).Post("").BodyJSON(target), &v)
+	if err == nil && v.Base == nil {
+		err = galenalatch.KindInternal.Errorf("router %s: the difference has no version", c.address)
+	}
 	return v, err
 }
 
--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -169,47 +169,75 @@
 }
 
 func (c *Commands) apply(ctx context.Context) error {
-	var ch galenalatch.Change
-	var whole galenalatch.Catalogue
-	target := any(&ch)
 	if c.whole {
-		target = &whole
+		return c.applyWhole(ctx)
 	}
-	if err := c.read(target); err != nil {
+	var ch galenalatch.Change
+	if err := c.read(&ch); err != nil {
 		return err
 	}
-	base := galenalatch.Version(max(0, c.base))
-	if c.base < 0 {
-		base = whole.Version
-	}
-	id := uuid.NewString()
+	ch.ID, ch.Author = uuid.NewString(), c.author
 	var res message.Result
-	err := c.first(ctx, func(cl *client.Client) error {
-		switch {
-		case c.whole:
-			d, err := cl.Diff(ctx, whole)
-			if err != nil {
-				return err
-			}
-			// Otherwise a file made from an older version would undo the
-			// changes since then.
-			if *d.Base != base {
-				return galenalatch.KindConflict.Errorf("the file is based on version %d, the current version is %d", base, *d.Base)
-			}
-			ch = d.Change
-		case c.base < 0:
+	err := c.first(ctx, func(cl *client.Client) (err error) {
+		base := galenalatch.Version(max(0, c.base))
+		if c.base < 0 {
 			now, err := cl.Catalogue(ctx)
 			if err != nil {
 				return err
 			}
 			base = now.Version
 		}
-		ch.ID, ch.Author = id, c.author
-		var err error
 		res, err = cl.Apply(ctx, base, ch)
 		return err
 	})
-	return c.result(res, id, err)
+	return c.result(res, ch.ID, err)
+}
+
+// applyWhole changes what differs from a whole catalogue, in several versions
+// when one would be too large.
+func (c *Commands) applyWhole(ctx context.Context) error {
+	var whole galenalatch.Catalogue
+	if err := c.read(&whole); err != nil {
+		return err
+	}
+	base := whole.Version
+	if c.base >= 0 {
+		base = galenalatch.Version(c.base)
+	}
+	var d message.Apply
+	err := c.first(ctx, func(cl *client.Client) (err error) {
+		d, err = cl.Diff(ctx, whole)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	// Otherwise a file made from an older version would undo the changes
+	// since then.
+	if *d.Base != base {
+		return galenalatch.KindConflict.Errorf("the file is based on version %d, the current version is %d", base, *d.Base)
+	}
+	list, err := parts(d.Change)
+	if err != nil {
+		return err
+	}
+	if len(list) == 0 {
+		_, err := fmt.Fprintln(c.out, "no difference")
+		return err
+	}
+	for i, ch := range list {
+		ch.ID, ch.Author = uuid.NewString(), c.author
+		var res message.Result
+		err := c.first(ctx, func(cl *client.Client) (err error) {
+			res, err = cl.Apply(ctx, base, ch)
+			return err
+		})
+		if err := c.result(res, ch.ID, err); err != nil {
+			return fmt.Errorf("part %d of %d: %w", i+1, len(list), err)
+		}
+		base = res.Version
+	}
+	return nil
 }
 
 func (c *Commands) diff(ctx context.Context) error {
