Use claims for calls that may not be repeated

Cause: the router refused all keyed calls, and a wait for another run held a grant for up to 10 s. The first try gave up at once because a wait of zero also ended the writing of the claim. Change: claims.Try returns KindInProgress at once; the entry then returns the grant and waits without one. A claim is released whenever no attempt may have reached a server, also when the caller went away. The end of an idle connection no longer counts as an unreachable router. Conclusion: status checks still wait up to 500 ms; looked at next.

--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -85,6 +85,8 @@
 	// Wait is how long a claim of another process is waited for, Resolve how
 	// long the platform may fail before the claim is given up.
 	Wait, Resolve time.Duration
+	// NoWait ends the claim as soon as another process is seen to hold it.
+	NoWait bool
 	// Poll is the first time between two reads of a row that another process
 	// has claimed; it grows up to MaxPoll. Retry separates failed calls.
 	Poll, MaxPoll, Retry time.Duration
--- a/internal/decide/claim/step.go
+++ b/internal/decide/claim/step.go
@@ -130,6 +130,8 @@
 		c.verdict = KeyReused
 	case v.State == Finished:
 		c.verdict, c.answer = Replay, v.Answer
+	case c.config.NoWait:
+		c.verdict = InProgress
 	default:
 		c.other = true
 		c.at = now.Add(c.poll)
--- a/internal/process/command/commands.go
+++ b/internal/process/command/commands.go
@@ -42,6 +42,11 @@
 	d.Flag("check", "Check the settings and exit.").BoolVar(&c.check)
 	d.Arg("id", `Ids of backend servers, or "platform"; all by default.`).StringsVar(&c.ids)
 	d.Action(c.action(c.standins))
+
+	l := app.Command("load", "Make calls to routers and check every answer against the stand-ins.")
+	l.Flag("plan", "File with the load plan in JSON.").Required().ExistingFileVar(&c.path)
+	l.Flag("check", "Check the plan and exit.").BoolVar(&c.check)
+	l.Action(c.action(c.load))
 	return c
 }
 
--- /dev/null
+++ b/internal/process/command/load.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/galenalatch/galenalatch/internal/load/audit"
+	"github.com/galenalatch/galenalatch/internal/load/generator"
+	"github.com/galenalatch/galenalatch/internal/load/plan"
+	"github.com/galenalatch/galenalatch/internal/load/result"
+)
+
+// load runs a plan and fails when a promise was seen broken.
+func (c *Commands) load(ctx context.Context) error {
+	p, err := plan.Load(c.path)
+	if err != nil {
+		return err
+	}
+	if c.check {
+		_, err = fmt.Fprintf(c.out, "%s: plan with %d callers is valid\n", c.path, len(p.Callers))
+		return err
+	}
+	results, checks := result.New(), audit.New(p.Servers)
+	if err := generator.New(p, results, checks).Run(ctx); err != nil {
+		return err
+	}
+	if err := results.Write(c.out); err != nil {
+		return err
+	}
+	return c.verdict(ctx, results, checks)
+}
+
+func (c *Commands) verdict(ctx context.Context, results *result.Results, checks *audit.Audit) error {
+	report, err := checks.Report(ctx)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.out, "servers: %d runs, %d completed, %d overruns, %d keys doubled, %d false notRun\n",
+		report.Runs, report.Completed, report.Overruns, report.DoubledKeys, report.FalseNotRun)
+	faults := report.Faults()
+	if _, _, wrong := results.Totals(); wrong > 0 {
+		faults = append(faults, fmt.Sprintf("%d answers were wrong", wrong))
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("broken promises: %s", strings.Join(faults, "; "))
+	}
+	return nil
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -39,7 +39,9 @@
 
 // Claims gives out claims. Exactly one of the three results is set.
 type Claims interface {
-	Claim(ctx context.Context, r galenalatch.Request) (Claim, *Answer, error)
+	// Claim waits a while for the end of another run of the request when
+	// wait is set, and otherwise returns an error of KindInProgress at once.
+	Claim(ctx context.Context, r galenalatch.Request, wait bool) (Claim, *Answer, error)
 }
 
 // Options are the parts that an entry works with.
--- a/internal/process/entry/task.go
+++ b/internal/process/entry/task.go
@@ -15,6 +15,8 @@
 	pool    galenalatch.Pool
 	meter   *meter
 	claim   Claim
+	// waited says that the task has waited for another run of the request.
+	waited bool
 	// sent counts attempts that may have reached a server.
 	sent int
 }
@@ -27,9 +29,23 @@
 			return err
 		}
 		err = t.attempt(ctx, g)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
+			return nil
+		}
+		if galenalatch.OutcomeOf(err) != galenalatch.NotRun && galenalatch.KindOf(err) != galenalatch.KindInProgress {
+			t.sent++
+		}
+		if ctx.Err() != nil {
 			return err
 		}
+		if galenalatch.KindOf(err) == galenalatch.KindInProgress && !t.waited {
+			// The wait for the other run must not hold a grant.
+			t.waited = true
+			if done, err := t.ensureClaim(ctx, true); done || err != nil {
+				return err
+			}
+			continue
+		}
 		if galenalatch.OutcomeOf(err) == galenalatch.NotRun {
 			returned++
 			if returned >= maxReturned || !retryable[galenalatch.KindOf(err)] {
@@ -37,7 +53,6 @@
 			}
 			continue
 		}
-		t.sent++
 		if !t.request.Repeatable || t.meter.sentHead() || t.sent >= maxSent {
 			return err
 		}
@@ -100,7 +115,7 @@
 	if err := e.confirm(ctx, g); err != nil {
 		return galenalatch.Usage{}, err
 	}
-	replayed, err := t.ensureClaim(ctx)
+	replayed, err := t.ensureClaim(ctx, false)
 	if replayed || err != nil {
 		return galenalatch.Usage{}, err
 	}
@@ -131,11 +146,11 @@
 
 // ensureClaim claims a request that may not be repeated. It reports whether a
 // stored answer was replayed instead.
-func (t *task) ensureClaim(ctx context.Context) (replayed bool, err error) {
+func (t *task) ensureClaim(ctx context.Context, wait bool) (replayed bool, err error) {
 	if t.request.Repeatable || t.request.Key == "" || t.claim != nil {
 		return false, nil
 	}
-	c, a, err := t.entry.options.Claims.Claim(ctx, t.request)
+	c, a, err := t.entry.options.Claims.Claim(ctx, t.request, wait)
 	if err != nil {
 		return false, err
 	}
@@ -171,7 +186,7 @@
 	switch {
 	case err == nil:
 		_ = t.claim.Finish(ctx, t.meter.answer())
-	case galenalatch.OutcomeOf(err) == galenalatch.NotRun && t.sent == 0:
+	case t.sent == 0:
 		_ = t.claim.Release(ctx)
 	}
 }
--- a/internal/process/router/drain.go
+++ b/internal/process/router/drain.go
@@ -31,10 +31,29 @@
 		defer done()
 		_ = r.mesh.Flush(flush)
 	}
+	r.settleClaims(limited)
 	r.log.Event(events.DrainEnded, "requests", r.entry.Active())
 	return err
 }
 
+// settlePoll is the time between two looks at the claims.
+const settlePoll = 50 * time.Millisecond
+
+// settleClaims waits until the stored answers of finished requests are
+// written, so that repeated requests get them.
+func (r *Router) settleClaims(ctx context.Context) {
+	tick := time.NewTicker(settlePoll)
+	defer tick.Stop()
+	for r.claims.Pending() > 0 {
+		select {
+		case <-ctx.Done():
+			r.log.Event(events.ClaimFailed, "claims", r.claims.Pending())
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // handOver gives the held cells to other routers. Granting stops before the
 // lease is released, so that two holders never grant at once.
 func (r *Router) handOver(ctx context.Context) {
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/galenalatch/galenalatch/internal/peer/link"
 	"github.com/galenalatch/galenalatch/internal/platform/call"
 	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
+	"github.com/galenalatch/galenalatch/internal/platform/claims"
 	"github.com/galenalatch/galenalatch/internal/platform/instances"
 	"github.com/galenalatch/galenalatch/internal/platform/leases"
 	"github.com/galenalatch/galenalatch/internal/platform/object"
@@ -47,6 +47,7 @@
 		catalogue.WithValidation(configcatalogue.New().Check),
 		catalogue.WithNotify(r.onCatalogue))
 	r.views = &views{router: r}
+	r.claims = claims.New(rows, object.New(c))
 	r.leases = leases.New(rows, r.settings.ID, r.start,
 		leases.WithConfig(lease.Config{
 			Duration: r.settings.Lease.Duration.Std(),
@@ -110,6 +111,7 @@
 }
 
 func (r *Router) onUp(p galenalatch.RouterID, start string) {
+	r.links.Store(p, true)
 	r.failures.Delete(p)
 	r.host.LinkUp(p, start)
 	r.entry.LinkUp(p)
@@ -117,7 +119,10 @@
 }
 
 func (r *Router) onFailed(p galenalatch.RouterID, err error) {
-	r.failures.Store(p, time.Now())
+	if _, was := r.links.LoadAndDelete(p); !was {
+		// The end of a connection is no failure: a new one may work.
+		r.failures.Store(p, time.Now())
+	}
 	r.log.Event(events.PeerLost, "peer", p, "error", err)
 }
 
@@ -141,7 +146,7 @@
 		Fresh:     r.views.fresh,
 		Send:      r.mesh.Send,
 		Runner:    func(k galenalatch.PoolKind) galenalatch.Runner { return runners[k] },
-		Claims:    noClaims{},
+		Claims:    claimAdapter{r.claims},
 		Observer:  observer{r},
 		MaxHeld:   r.settings.Limits.ConnectionsPerWorkspace,
 	})
@@ -218,10 +223,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// noClaims refuses calls that may not be repeated.
-type noClaims struct{}
-
-func (noClaims) Claim(context.Context, galenalatch.Request) (entry.Claim, *entry.Answer, error) {
-	return nil, nil, galenalatch.KindPlatformDown.Errorf("claims are not available")
-}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/galenalatch/galenalatch/internal/config/settings"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
 	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
+	"github.com/galenalatch/galenalatch/internal/platform/claims"
 	"github.com/galenalatch/galenalatch/internal/platform/leases"
 	"github.com/galenalatch/galenalatch/internal/process/dispatch"
 	"github.com/galenalatch/galenalatch/internal/process/entry"
@@ -35,6 +36,7 @@
 	catalogue   *catalogue.Store
 	fleet       *fleet.Fleet
 	leases      *leases.Store
+	claims      *claims.Store
 	mesh        *link.Mesh
 	entry       *entry.Entry
 	host        *dispatch.Host
@@ -45,6 +47,8 @@
 	platform    outage
 	// failures holds the time of the last failed connection by router.
 	failures sync.Map
+	// links holds the routers to which there is a connection.
+	links sync.Map
 	draining atomic.Bool
 	ready    atomic.Bool
 }
@@ -80,7 +84,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	for _, run := range []func(context.Context) error{
-		r.fleet.Run, r.leases.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.views.run, r.runRanks,
+		r.fleet.Run, r.leases.Run, r.claims.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.views.run, r.runRanks,
 	} {
 		g.Go(func() error { return run(work) })
 	}
