Show more of the cells in the status

Cause: a cell with waiting requests, free slots and no grants could not be told from the status. Change: the status has ready, lent, granting and foreign counts. Measured: they showed a granting cell with 14 ready requests, none running and a limit of 16.

--- a/internal/operator/status/status.go
+++ b/internal/operator/status/status.go
@@ -37,6 +37,13 @@
 	Lapsed  bool `json:"lapsed"`
 	Waiting int  `json:"waiting"`
 	Running int  `json:"running"`
+	// Ready counts the waiting requests that could start if there were free
+	// slots, Lent the slots that other cells use.
+	Ready int `json:"ready"`
+	Lent  int `json:"lent"`
+	// Granting says that the cell may grant: its lease is valid and the
+	// reports of the routers are in.
+	Granting bool `json:"granting"`
 }
 
 // Server is the dispatcher's view of a backend server.
@@ -48,4 +55,7 @@
 	State   string `json:"state"`
 	Limit   int    `json:"limit"`
 	Running int    `json:"running"`
+	// Foreign counts the requests that the server reported beyond those
+	// that the dispatcher granted.
+	Foreign int `json:"foreign"`
 }
--- a/internal/process/entry/task.go
+++ b/internal/process/entry/task.go
@@ -98,7 +98,12 @@
 func (t *task) attempt(ctx context.Context, g galenalatch.Grant) error {
 	e := t.entry
 	t.meter.begin(e.started(g), t.pool)
-	usage, err := t.use(ctx, g)
+	usage, replayed, err := t.use(ctx, g)
+	if replayed {
+		// The server was not used: its limit must not rise.
+		e.end(g, 0, galenalatch.KindStaleGrant.Errorf("a stored answer was used"))
+		return err
+	}
 	units := max(usage.Units(t.pool), t.meter.attemptUnits())
 	if err == nil {
 		e.learn(t.request, units)
@@ -110,14 +115,14 @@
 	return err
 }
 
-func (t *task) use(ctx context.Context, g galenalatch.Grant) (galenalatch.Usage, error) {
+// use sends the request, or reports that a stored answer was passed on.
+func (t *task) use(ctx context.Context, g galenalatch.Grant) (u galenalatch.Usage, replayed bool, err error) {
 	e := t.entry
 	if err := e.confirm(ctx, g); err != nil {
-		return galenalatch.Usage{}, err
+		return u, false, err
 	}
-	replayed, err := t.ensureClaim(ctx, false)
-	if replayed || err != nil {
-		return galenalatch.Usage{}, err
+	if replayed, err := t.ensureClaim(ctx, false); replayed || err != nil {
+		return u, replayed, err
 	}
 	o := galenalatch.Order{
 		Request:    t.request.ID,
@@ -133,15 +138,8 @@
 		Epoch:      g.ServerEpoch,
 		BeforeSend: func() error { return e.check(g) },
 	}
-	usage, err := e.options.Runner(t.pool.Kind).Run(ctx, o, t.meter)
-	if err == nil {
-		return usage, nil
-	}
-	if galenalatch.OutcomeOf(err) == galenalatch.NotRun && t.sent > 0 && !t.request.Repeatable {
-		// An earlier attempt may have run, so that NotRun would be wrong.
-		return usage, galenalatch.KindServerBroke.Errorf("after an earlier attempt: %w", err)
-	}
-	return usage, err
+	u, err = e.options.Runner(t.pool.Kind).Run(ctx, o, t.meter)
+	return u, false, err
 }
 
 // ensureClaim claims a request that may not be repeated. It reports whether a
--- a/internal/process/router/status.go
+++ b/internal/process/router/status.go
@@ -29,7 +29,16 @@
 	}
 	s.Waiting, s.Running = r.entry.Counts()
 	for _, c := range r.host.Status(ctx) {
-		s.Cells = append(s.Cells, status.Cell{Cell: c.Cell, Epoch: c.Epoch, Lapsed: c.Lapsed, Waiting: c.Waiting, Running: c.Granted})
+		s.Cells = append(s.Cells, status.Cell{
+			Cell:     c.Cell,
+			Epoch:    c.Epoch,
+			Lapsed:   c.Lapsed,
+			Waiting:  c.Waiting,
+			Running:  c.Granted,
+			Ready:    c.Ready,
+			Lent:     c.Lent,
+			Granting: c.Granting,
+		})
 		for _, w := range c.Servers {
 			s.Servers = append(s.Servers, status.Server{
 				Server:     w.Server,
@@ -38,6 +47,7 @@
 				State:      string(w.State),
 				Limit:      w.Limit,
 				Running:    w.Running,
+				Foreign:    w.Foreign,
 			})
 		}
 	}
