Build the key index once per version; log nil values

Cause: several callers could build the key index of one version at once; nil values were logged as missing. Change: the index is built once, nil is logged as none.

--- a/internal/caller/auth/keys.go
+++ b/internal/caller/auth/keys.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/galenalatch/galenalatch"
@@ -22,6 +23,9 @@
 type Keys struct {
 	current func() galenalatch.Catalogue
 	index   atomic.Pointer[index]
+	// build is held while an index is built, so that the requests that
+	// arrive with a new version do not all build one.
+	build sync.Mutex
 }
 
 // New returns the keys of the catalogue that current returns. The index is
@@ -37,18 +41,28 @@
 	if err != nil {
 		return "", err
 	}
-	c := k.current()
-	x := k.index.Load()
-	if x == nil || x.version != c.Version {
-		x = newIndex(c)
-		k.index.Store(x)
-	}
-	if w, ok := x.find(sha256.Sum256([]byte(key))); ok {
+	if w, ok := k.latest().find(sha256.Sum256([]byte(key))); ok {
 		return w, nil
 	}
 	return "", galenalatch.KindUnauthorized.Errorf("the key is not known")
 }
 
+func (k *Keys) latest() *index {
+	if x := k.index.Load(); x != nil && x.version == k.current().Version {
+		return x
+	}
+	k.build.Lock()
+	defer k.build.Unlock()
+	// Read under the lock, the catalogue is not older than the last one.
+	c := k.current()
+	if x := k.index.Load(); x != nil && x.version == c.Version {
+		return x
+	}
+	x := newIndex(c)
+	k.index.Store(x)
+	return x
+}
+
 // index holds the hashes of one catalogue version. Hashes are grouped by
 // their first bytes, which says nothing about the keys, and compared in
 // constant time within a group.
--- a/internal/telemetry/events/log.go
+++ b/internal/telemetry/events/log.go
@@ -96,13 +96,17 @@
 // scalar returns a value that can be logged. Maps, structs and lists are not
 // logged: a header or a request in a log line would carry secrets.
 func scalar(v any) any {
+	r := reflect.ValueOf(v)
+	if !r.IsValid() || r.Kind() == reflect.Pointer && r.IsNil() {
+		return "none"
+	}
 	switch x := v.(type) {
 	case error:
 		return clip(x.Error())
 	case fmt.Stringer:
 		return clip(x.String())
 	}
-	switch r := reflect.ValueOf(v); {
+	switch {
 	case r.Kind() == reflect.String:
 		return clip(r.String())
 	case r.CanInt(), r.CanUint(), r.CanFloat(), r.Kind() == reflect.Bool:
--- a/internal/telemetry/events/log_test.go
+++ b/internal/telemetry/events/log_test.go
@@ -26,10 +26,10 @@
 			"Authorization", "hidden", "api-key", "hidden", "idempotency_key", "hidden",
 			"header", http.Header{"Authorization": {"hidden"}}, "request", galenalatch.Request{Key: "hidden"},
 			"text", "a\nlevel=error event=1", "long", strings.Repeat("x", 2000), "cause", errors.New("why"),
-			"cell", galenalatch.CellID{Pool: "p"}, "count", 7, "odd")
+			"cell", galenalatch.CellID{Pool: "p"}, "count", 7, "nil", nil, "nothing", (*galenalatch.Error)(nil), "odd")
 		assert.Assert(t, !strings.Contains(b.String(), "hidden"), b.String())
 		assert.Assert(t, b.Len() < 1500, b.String())
-		for _, want := range []string{"2001", "request ended", "why", "p//0", "7"} {
+		for _, want := range []string{"2001", "request ended", "why", "p//0", "7", "none"} {
 			assert.Assert(t, strings.Contains(b.String(), want), "%s: %s", want, b.String())
 		}
 		if format != "text" {
