--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -47,6 +47,7 @@
 	OperatorRejected Number = 5008
 	OutOfService     Number = 5009
 	BackInService    Number = 5010
+	ChangeRefused    Number = 5011
 	PlatformDown     Number = 6001
 	PlatformUp       Number = 6002
 	WriteUnclear     Number = 6003
@@ -159,6 +160,9 @@
 		"Repeat `galenalatch status` until the version is held. Remove dead routers from the instance list."},
 	ChangeConflict: {log.InfoLevel, "change lost a race",
 		"Another operator's change came first. This one was not stored.", "Read the current version and apply the change again."},
+	ChangeRefused: {log.WarnLevel, "change refused",
+		"An operator's change was not stored; `error` says why. After an unclear write it may be stored.",
+		"Look for its id in the history before applying it again."},
 	OperatorRejected: {log.WarnLevel, "operator rejected",
 		"A request to the operators' API had no valid token.", "When it repeats, find out who sends it."},
 	OutOfService: {log.WarnLevel, "out of service",
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -73,7 +73,7 @@
 		}, []string{"workspace", "outcome"}),
 		operators: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenalatch_catalogue_changes_total",
-			Help: "Operators' changes of the catalogue through this router by error kind; the kind of accepted changes is empty.",
+			Help: "Operators' changes of the catalogue through this router by error kind; the kind of stored changes is empty. Requests without a valid token are counted too.",
 		}, []string{"kind"}),
 	}
 	m.busiest = newBusiest(time.Now(), m.forget)
