--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -232,9 +232,13 @@
 			res, err = cl.Apply(ctx, base, ch)
 			return err
 		})
-		if err := c.result(res, ch.ID, err); err != nil {
+		err = c.result(res, ch.ID, err)
+		if err != nil && len(list) > 1 {
 			return fmt.Errorf("part %d of %d: %w", i+1, len(list), err)
 		}
+		if err != nil {
+			return err
+		}
 		base = res.Version
 	}
 	return nil
