Ask less often about lent slots in use

Cause: at target size most loans outlive their term, and each was asked about after 2, 4, 8 and 16 s.

--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -19,12 +19,15 @@
 	virtualTime int64
 	waiting     int
 	heard       time.Time
+	// changed says that loans to an earlier holder must be asked about.
+	changed bool
 }
 
 func (p *peer) meet(r galenalatch.RouterID, e galenalatch.Epoch) {
 	if e >= p.epoch {
 		if e > p.epoch {
 			p.waiting = 0
+			p.changed = true
 		}
 		p.router, p.epoch = r, e
 	}
@@ -159,8 +162,15 @@
 }
 
 // lostTries is the number of questions after which a loan to a cell that is
-// no longer listed ends: about a minute.
-const lostTries = 6
+// no longer listed ends: two minutes.
+const lostTries = 3
+
+// loanAskPeriod is the time between questions about a loan after the first
+// one. A borrower does not answer while it uses the slot, and most requests
+// are still running when their term has ended, so frequent questions cost
+// more than the rare loss of an answer. After a new connection to the holder
+// of the borrowing cell, or a new holder, the question comes early.
+const loanAskPeriod = time.Minute
 
 // probeLoans asks borrowers about slots whose term has ended. The slot stays
 // occupied until a borrower answers: it may have granted the slot just before
@@ -168,17 +178,20 @@
 func (c *Cell) probeLoans(now time.Time) {
 	for _, n := range slices.Sorted(maps.Keys(c.loans)) {
 		l := c.loans[n]
+		p := c.peers[l.to]
+		if p != nil && p.changed {
+			l.probe = now.Add(askWait + time.Second)
+		}
 		if now.Before(l.probe) {
 			continue
 		}
-		p := c.peers[l.to]
 		if p == nil && l.tries >= lostTries {
 			// The borrowing cell no longer exists.
 			delete(c.loans, n)
 			c.servers.Finish(now, l.key, warmup.End{Assumed: true})
 			continue
 		}
-		l.probe = now.Add(c.cfg.ConfirmWait << min(l.tries, 3))
+		l.probe = now.Add(loanAskPeriod)
 		l.tries++
 		if p == nil {
 			continue
@@ -187,6 +200,18 @@
 		m.Ask, m.ToEpoch = true, p.epoch
 		c.send(p.router, m)
 	}
+	for _, p := range c.peers {
+		p.changed = false
+	}
+}
+
+// askLoans asks soon about the slots lent to cells that the router holds.
+func (c *Cell) askLoans(now time.Time, id galenalatch.RouterID) {
+	for _, l := range c.loans {
+		if p := c.peers[l.to]; p != nil && p.router == id {
+			l.probe = now
+		}
+	}
 }
 
 func (c *Cell) givenBack(now time.Time, m galenalatch.GiveBack) {
--- a/internal/decide/cell/routers.go
+++ b/internal/decide/cell/routers.go
@@ -38,6 +38,7 @@
 		r.reported = false
 	}
 	r.start, r.up, r.down, r.freed = start, true, time.Time{}, false
+	c.askLoans(now, id)
 }
 
 // RouterDown records the loss of the connection to a router. Its waiting
