--- a/internal/decide/cell/entry_test.go
+++ b/internal/decide/cell/entry_test.go
@@ -97,7 +97,7 @@
 	used := map[galenalatch.CellID][]galenalatch.Used{}
 	for _, q := range slices.Sorted(maps.Keys(n.calls)) {
 		if k := n.calls[q]; k.server != nil {
-			used[k.grant.Cell] = append(used[k.grant.Cell], galenalatch.Used{Request: k.id, Units: k.units(), Serial: k.serial})
+			used[k.grant.Cell] = append(used[k.grant.Cell], galenalatch.Used{Units: k.units(), Serial: k.serial})
 		} else {
 			n.askLease(k.home)
 		}
--- a/message.go
+++ b/message.go
@@ -100,7 +100,8 @@
 
 // Used is the cost so far of one running request.
 type Used struct {
-	Request RequestID `cbor:"request"`
+	// Request may be empty when Serial is set.
+	Request RequestID `cbor:"request,omitempty"`
 	Units   int64     `cbor:"units"`
 	// Serial is the serial number of the grant.
 	Serial uint64 `cbor:"serial,omitempty"`
