Send summaries when they would change a decision

A busy cell sends a summary when its virtual time has moved by half the tolerance or its waiting count by a factor of two, at most every 200 ms and at least every second.

--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -36,8 +36,11 @@
 	Servers warmup.Tuning
 	// SummaryPeriod is the time between two summaries. The default is 200 ms.
 	SummaryPeriod time.Duration
+	// SummaryRefresh is the longest time between two summaries of a busy cell
+	// whose state hardly changes. The default is five periods.
+	SummaryRefresh time.Duration
 	// SummaryAge is the age from which a summary no longer counts. The
-	// default is five periods.
+	// default is 2.5 times SummaryRefresh.
 	SummaryAge time.Duration
 	// LoanTerm is how long a lent slot may wait for use. The default is 1 s.
 	LoanTerm time.Duration
@@ -69,7 +72,8 @@
 
 func (c Config) withDefaults() Config {
 	c.SummaryPeriod = cmp.Or(c.SummaryPeriod, 200*time.Millisecond)
-	c.SummaryAge = cmp.Or(c.SummaryAge, 5*c.SummaryPeriod)
+	c.SummaryRefresh = cmp.Or(c.SummaryRefresh, 5*c.SummaryPeriod)
+	c.SummaryAge = cmp.Or(c.SummaryAge, c.SummaryRefresh*5/2)
 	c.LoanTerm = cmp.Or(c.LoanTerm, time.Second)
 	c.ReportWait = cmp.Or(c.ReportWait, 2*time.Second)
 	c.ConfirmWait = cmp.Or(c.ConfirmWait, 2*time.Second)
@@ -114,8 +118,9 @@
 	listed       bool
 	collected    bool
 	busy         bool
-	announced    bool
+	announced    galenalatch.Summary
 	nextSummary  time.Time
+	refresh      time.Time
 	nextScan     time.Time
 	nextForget   time.Time
 	changed      bool
@@ -228,7 +233,7 @@
 			at = t
 		}
 	}
-	if !c.stopped && (c.announced || c.queue.Ready() > 0) {
+	if !c.stopped && (c.announced.Waiting > 0 || c.queue.Ready() > 0) {
 		add(c.nextSummary)
 	}
 	if len(c.grants) > 0 || len(c.loans) > 0 || len(c.offers) > 0 || c.anyDown() {
--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -303,16 +303,29 @@
 // busy, and once more when it has become quiet.
 func (c *Cell) summarise(now time.Time) {
 	ready := c.queue.Ready()
-	if c.stopped || ready == 0 && !c.announced || now.Before(c.nextSummary) {
+	if c.stopped || ready == 0 && c.announced.Waiting == 0 || now.Before(c.nextSummary) {
 		return
 	}
 	c.nextSummary = now.Add(c.cfg.SummaryPeriod)
-	c.announced = ready > 0
 	m := galenalatch.Summary{
 		Cell: c.cfg.ID, Epoch: c.cfg.Epoch, VirtualTime: c.queue.VirtualTime(),
 		Waiting: ready, Free: c.servers.Free(now),
 	}
+	if now.Before(c.refresh) && !c.differs(m) {
+		return
+	}
+	c.refresh = now.Add(c.cfg.SummaryRefresh)
+	c.announced = m
 	for _, id := range slices.SortedFunc(maps.Keys(c.peers), compareCells) {
 		c.send(c.peers[id].router, m)
 	}
 }
+
+// differs reports whether a summary would lead other cells to other decisions
+// than the last one. A difference of virtual time below half the tolerance
+// would not, since it can only double the tolerance's part of the bound.
+func (c *Cell) differs(m galenalatch.Summary) bool {
+	o := c.announced
+	d := m.VirtualTime - o.VirtualTime
+	return max(d, -d) > c.cfg.LendTolerance/2 || m.Waiting > 2*o.Waiting || 2*m.Waiting < o.Waiting
+}
