Free an unused lent slot at once

Cause: a lender took each slot that came back unused as one whose end nobody confirmed, and gave the server no new work before its next load report. With short calls, cells lend and return slots all the time, so servers stood idle for up to 500 ms while requests waited. Ruled out: the latency check, the lease, reports that count unknown requests. Change: GiveBack says when the borrower has no record of the slot; only then the lender waits for a report. TestUnusedLoanFreesSlotAtOnce fails without the change.

--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -121,3 +121,36 @@
 	assert.Equal(t, s.Lent, 1)
 	assert.Equal(t, s.Servers[0].Limit, 3)
 }
+
+// Guards against a server that gets no work until its next load report after
+// each slot that another cell did not need.
+func TestUnusedLoanFreesSlotAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	id := galenalatch.CellID{Pool: "p", DataCentre: "a"}
+	other := galenalatch.CellID{Pool: "p", DataCentre: "b"}
+	pool := galenalatch.Pool{Name: "p", ColdLimit: 1, WarmLimit: 1, MaxCost: 100}
+	c := New(Config{ID: id, Router: "r1", Epoch: 1, Pool: pool, Start: now.Add(-time.Minute)})
+	c.SetCatalogue(now, galenalatch.Catalogue{Pools: []galenalatch.Pool{pool}})
+	c.SetServers(now, []galenalatch.Instance{{ID: "s", DataCentre: "a", Pool: "p"}})
+	c.SetLease(now.Add(time.Minute), false)
+	c.SetLoad(now, "s", now, galenalatch.LoadReport{Boot: "1"}, nil)
+	c.SetPeers(now, []galenalatch.Holder{{Cell: other, Router: "r2", Epoch: 1}})
+	c.Handle(now, "r2", galenalatch.Summary{Cell: other, Epoch: 1, Waiting: 5})
+	var loan *galenalatch.Lend
+	for _, o := range c.Tick(now) {
+		if m, ok := o.Message.(galenalatch.Lend); ok {
+			loan = &m
+		}
+	}
+	assert.Assert(t, loan != nil)
+	now = now.Add(3 * time.Millisecond)
+	c.Handle(now, "r2", galenalatch.GiveBack{From: other, To: id, Slot: loan.Slot})
+	c.RouterUp(now, "r1", "start")
+	c.Handle(now, "r1", galenalatch.Enqueue{Cell: id, Waiting: galenalatch.Waiting{Request: "q", Workspace: "w", Class: galenalatch.Interactive, Estimate: 1}})
+	granted := false
+	for _, o := range c.Tick(now) {
+		_, ok := o.Message.(galenalatch.Grant)
+		granted = granted || ok
+	}
+	assert.Assert(t, granted)
+}
--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -220,7 +220,7 @@
 		return
 	}
 	delete(c.loans, m.Slot)
-	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: !m.Used})
+	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: m.Unknown})
 }
 
 // lent takes in a slot of another cell, or a question about one.
@@ -245,7 +245,7 @@
 	}
 	c.borrowed[k] = o
 	if m.Ask || m.ToEpoch != c.cfg.Epoch || m.Epoch < p.epoch {
-		c.giveBack(now, o, ending{})
+		c.giveBack(now, o, ending{assumed: true})
 		return
 	}
 	c.offers = append(c.offers, o)
@@ -292,7 +292,7 @@
 	o.become(returned, now)
 	o.answer = galenalatch.GiveBack{
 		From: c.cfg.ID, To: o.key.lender, Slot: o.key.slot,
-		Used: e.ran, Failed: e.failed, Completed: e.completed,
+		Used: e.ran, Failed: e.failed, Completed: e.completed, Unknown: e.assumed,
 	}
 	if p := c.peers[o.key.lender]; p != nil {
 		c.send(p.router, o.answer)
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -48,7 +48,7 @@
 	// failures holds the time of the last failed connection by router.
 	failures sync.Map
 	// links holds the routers to which there is a connection.
-	links sync.Map
+	links    sync.Map
 	draining atomic.Bool
 	ready    atomic.Bool
 }
--- a/message.go
+++ b/message.go
@@ -219,6 +219,9 @@
 	Used      bool   `cbor:"used"`
 	Failed    bool   `cbor:"failed"`
 	Completed bool   `cbor:"completed"`
+	// Unknown says that the borrower has no record of the slot, so that an
+	// earlier holder may have used it.
+	Unknown bool `cbor:"unknown,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
