backend/connection: fix a deadlock when a server closes an idle connection

The transport closes its connection with a lock held, and the pool's callback asked the same transport to close its idle connections. The transport ends with its only connection, so the call is dropped.

TestIdle found it by waiting for the idle connection of a restarted server. The new tests also show that net/http replays on a reused connection (2 runs) and the pool does not (1 run), for GET, HEAD, POST with and without a body, and PUT of 1 MB, each with Idempotency-Key.

--- a/internal/backend/connection/connection.go
+++ b/internal/backend/connection/connection.go
@@ -38,10 +38,10 @@
 }
 
 // Close closes the connection. An engine that still generates then cancels.
+// The transport ends with its only connection.
 func (c *Connection) Close() {
 	// Nobody waits for the result of closing a connection.
 	_ = c.conn.Close()
-	c.transport.CloseIdleConnections()
 }
 
 // onceBody is a request body that can't be read again: it hides the methods
--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -197,7 +197,8 @@
 	}
 }
 
-// lost closes a connection that has expired or was closed while idle.
+// lost closes a connection that has expired or was closed while idle. The
+// transport calls it with a lock of its own, so that it must not be used here.
 func (c *Connection) lost() {
 	p := c.pool
 	p.mu.Lock()
--- /dev/null
+++ b/internal/backend/connection/pool_test.go
@@ -0,0 +1,356 @@
+package connection
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/standin/network"
+	"github.com/galenalatch/galenalatch/internal/standin/process"
+	standin "github.com/galenalatch/galenalatch/internal/standin/service"
+	"gotest.tools/v3/assert"
+)
+
+// start serves s on a loopback address until the test ends.
+func start(t testing.TB, s *standin.Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	serve(t, s, l)
+	return l.Addr().String()
+}
+
+func serve(t testing.TB, s *standin.Server, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g sync.WaitGroup
+	g.Go(func() {
+		if err := s.Serve(ctx, l); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		g.Wait()
+	})
+}
+
+// send runs one order to the end of its answer.
+func send(ctx context.Context, p *Pool, o galenalatch.Order) error {
+	c, err := p.Get(ctx, o.Address, o.Boot)
+	if err != nil {
+		return err
+	}
+	if o.BeforeSend != nil {
+		if err := o.BeforeSend(); err != nil {
+			return err
+		}
+	}
+	resp, err := c.Send(ctx, o, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.Close()
+		return galenalatch.KindStreamBroke.Errorf("reading the answer: %w", err)
+	}
+	if err := resp.Body.Close(); err != nil {
+		return err
+	}
+	c.Release()
+	return nil
+}
+
+func order(address string, boot galenalatch.BootID, id, method, body string) galenalatch.Order {
+	return galenalatch.Order{
+		Request: galenalatch.RequestID(id), Address: address, Boot: boot,
+		Method: method, Path: "/pickups/1", Body: []byte(body),
+		Header: http.Header{"Idempotency-Key": {"key-" + id}},
+	}
+}
+
+// TestNeverReplays guards against the transport sending a request again after
+// the server ran it and closed the connection without an answer. net/http
+// does so on a reused connection, which the test shows first.
+func TestNeverReplays(t *testing.T) {
+	calls := []struct{ name, method, body string }{
+		{"get", http.MethodGet, ""},
+		{"head", http.MethodHead, ""},
+		{"post", http.MethodPost, "household 9"},
+		{"emptyPost", http.MethodPost, ""},
+		{"longPut", http.MethodPut, strings.Repeat("x", 1<<20)},
+	}
+	for _, c := range calls {
+		t.Run(c.name, func(t *testing.T) {
+			s := standin.New(standin.Settings{})
+			address := start(t, s)
+			plain := &http.Client{Transport: &http.Transport{}}
+			defer plain.CloseIdleConnections()
+			for i, id := range []string{"first", "plain"} {
+				s.SetFailures(process.Failures{CloseAfterRun: i})
+				r, err := http.NewRequestWithContext(t.Context(), c.method, "http://"+address+"/", strings.NewReader(c.body))
+				assert.NilError(t, err)
+				r.Header.Set("X-Request-Id", id)
+				r.Header.Set("Idempotency-Key", id)
+				resp, err := plain.Do(r)
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, resp.Body.Close())
+			}
+			assert.Equal(t, s.Stats().Runs["plain"], 2)
+
+			p := New()
+			defer p.Close()
+			for _, f := range []process.Failures{{CloseAfterRun: 1}, {CloseBeforeRead: 1}} {
+				s.SetFailures(process.Failures{})
+				assert.NilError(t, send(t.Context(), p, order(address, s.Boot(), "kept", c.method, c.body)))
+				assert.Equal(t, p.Idle(), 1)
+				s.SetFailures(f)
+				id := fmt.Sprintf("%+v", f)
+				err := send(t.Context(), p, order(address, s.Boot(), id, c.method, c.body))
+				assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindServerBroke)
+				assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.OutcomeUnknown)
+				assert.Equal(t, s.Stats().Received[id], 1)
+				assert.Equal(t, s.Stats().Runs[id], f.CloseAfterRun)
+			}
+		})
+	}
+}
+
+// TestRestarts guards against a request that reaches a cold successor: the
+// server restarts between the boot check and the request, on a new and on a
+// kept connection.
+func TestRestarts(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		t.Run(fmt.Sprintf("kept=%t", kept), func(t *testing.T) {
+			s := standin.New(standin.Settings{})
+			address := start(t, s)
+			p := New()
+			defer p.Close()
+			if kept {
+				assert.NilError(t, send(t.Context(), p, order(address, s.Boot(), "0", http.MethodGet, "")))
+			}
+			o := order(address, s.Boot(), "1", http.MethodPost, "x")
+			o.BeforeSend = func() error {
+				s.TurnCold()
+				return nil
+			}
+			assert.Check(t, send(t.Context(), p, o) != nil)
+			assert.Equal(t, s.Stats().Received["1"], 0)
+		})
+	}
+}
+
+// TestRestartNoticed guards against a request over a connection that is known
+// to lead to a process that has ended, and against marking the server as
+// broken for it.
+func TestRestartNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network.New()
+		l, err := n.Listen("a:1")
+		assert.NilError(t, err)
+		s := standin.New(standin.Settings{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { assert.Check(t, s.Serve(ctx, l)) })
+		p := New(WithDial(n.Dial))
+		o := order("a:1", s.Boot(), "1", http.MethodPost, "x")
+		assert.NilError(t, send(t.Context(), p, order("a:1", s.Boot(), "0", http.MethodGet, "")))
+		s.TurnCold()
+		synctest.Wait()
+		err = send(t.Context(), p, o)
+		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindBootMismatch)
+		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.NotRun)
+		assert.Equal(t, s.Stats().Received["1"], 0)
+		p.Close()
+		cancel()
+		g.Wait()
+	})
+}
+
+// TestColdSuccessor guards against the same under load: many requests run
+// while the server restarts again and again. It compares each notRun with the
+// server's own count.
+func TestColdSuccessor(t *testing.T) {
+	const senders, requests, restarts = 16, 150, 200
+	s := standin.New(standin.Settings{WriteTime: 100 * time.Microsecond})
+	address := start(t, s)
+	p := New()
+	defer p.Close()
+	var mu sync.Mutex
+	sent := make(map[string]galenalatch.BootID)
+	failed := make(map[string]error)
+	var g sync.WaitGroup
+	done := make(chan struct{})
+	for i := range senders {
+		g.Go(func() {
+			for j := range requests {
+				id := fmt.Sprintf("%d-%d", i, j)
+				o := order(address, s.Boot(), id, http.MethodPost, id)
+				err := send(t.Context(), p, o)
+				mu.Lock()
+				sent[id], failed[id] = o.Boot, err
+				mu.Unlock()
+			}
+		})
+	}
+	var r sync.WaitGroup
+	r.Go(func() {
+		tick := time.NewTicker(time.Millisecond)
+		defer tick.Stop()
+		for range restarts {
+			select {
+			case <-tick.C:
+				s.TurnCold()
+			case <-done:
+				return
+			}
+		}
+	})
+	g.Wait()
+	close(done)
+	r.Wait()
+	st := s.Stats()
+	outcomes := make(map[galenalatch.Outcome]int)
+	for id, boot := range sent {
+		boots := st.RunBoots[id]
+		assert.Check(t, len(boots) <= 1, "%s ran %d times", id, len(boots))
+		for _, b := range boots {
+			assert.Check(t, b == boot, "%s for %s ran on %s", id, boot, b)
+		}
+		if failed[id] == nil {
+			outcomes[galenalatch.Answered]++
+			assert.Check(t, len(boots) == 1, id)
+			continue
+		}
+		o := galenalatch.OutcomeOf(failed[id])
+		outcomes[o]++
+		if o == galenalatch.NotRun {
+			assert.Check(t, st.Received[id] == 0, "%s: %v", id, failed[id])
+		}
+	}
+	t.Logf("restarts %d, outcomes %v", st.Boots-1, outcomes)
+	assert.Check(t, outcomes[galenalatch.Answered] > 0 && outcomes[galenalatch.NotRun] > 0)
+}
+
+// TestUnreached guards against a claim other than notRun when no connection
+// could be confirmed, and against waiting for it without end.
+func TestUnreached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network.New()
+		p := New(WithDial(n.Dial), WithTimeouts(time.Second, 2*time.Second))
+		defer p.Close()
+		check := func(ctx context.Context, kind galenalatch.Kind, after time.Duration) {
+			t.Helper()
+			began := time.Now()
+			_, err := p.Get(ctx, "a:1", "1")
+			assert.Equal(t, galenalatch.KindOf(err), kind)
+			assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.NotRun)
+			assert.Equal(t, time.Since(began), after)
+		}
+		check(t.Context(), galenalatch.KindServerUnreached, 0)
+		l, err := n.Listen("a:1")
+		assert.NilError(t, err)
+		// Nobody accepts yet.
+		check(t.Context(), galenalatch.KindServerUnreached, time.Second)
+		s := standin.New(standin.Settings{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { assert.Check(t, s.Serve(ctx, l)) })
+		check(t.Context(), galenalatch.KindBootMismatch, 0)
+		s.SetFailures(process.Failures{HangReports: true})
+		check(t.Context(), galenalatch.KindServerUnreached, 2*time.Second)
+		short, stop := context.WithTimeout(t.Context(), time.Second)
+		check(short, galenalatch.KindCallerGone, time.Second)
+		stop()
+		cancel()
+		g.Wait()
+	})
+}
+
+// TestIdle guards against connections that are kept without bound, and
+// against the use of one that the server has closed.
+func TestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network.New()
+		l, err := n.Listen("a:1")
+		assert.NilError(t, err)
+		s := standin.New(standin.Settings{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { assert.Check(t, s.Serve(ctx, l)) })
+		dials := 0
+		p := New(WithIdle(4*time.Second, 2, 3), WithDial(func(ctx context.Context, nw, a string) (net.Conn, error) {
+			dials++
+			return n.Dial(ctx, nw, a)
+		}))
+		var used []*Connection
+		for range 3 {
+			c, err := p.Get(t.Context(), "a:1", s.Boot())
+			assert.NilError(t, err)
+			used = append(used, c)
+		}
+		for _, c := range used {
+			c.Release()
+		}
+		assert.Equal(t, p.Idle(), 2)
+		<-time.After(4 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, p.Idle(), 0)
+		assert.NilError(t, send(t.Context(), p, order("a:1", s.Boot(), "1", http.MethodGet, "")))
+		assert.NilError(t, send(t.Context(), p, order("a:1", s.Boot(), "2", http.MethodGet, "")))
+		assert.Equal(t, dials, 4)
+		s.TurnCold()
+		synctest.Wait()
+		assert.Equal(t, p.Idle(), 0)
+		assert.NilError(t, send(t.Context(), p, order("a:1", s.Boot(), "3", http.MethodGet, "")))
+		assert.Equal(t, dials, 5)
+		p.Close()
+		assert.Equal(t, p.Idle(), 0)
+		cancel()
+		g.Wait()
+	})
+}
+
+// failingConn fails writes that contain a request after passing on some
+// bytes of them.
+type failingConn struct {
+	net.Conn
+	pass int
+}
+
+func (c failingConn) Write(b []byte) (int, error) {
+	if !strings.Contains(string(b), "/pickups/") {
+		return c.Conn.Write(b)
+	}
+	n, err := c.Conn.Write(b[:c.pass])
+	return n, errors.Join(err, errors.New("network failed"))
+}
+
+// TestFailedWrites guards against notRun after a part of the request was
+// written, and against outcomeUnknown when nothing was.
+func TestFailedWrites(t *testing.T) {
+	for pass, outcome := range map[int]galenalatch.Outcome{
+		0: galenalatch.NotRun, 1: galenalatch.OutcomeUnknown, 40: galenalatch.OutcomeUnknown,
+	} {
+		s := standin.New(standin.Settings{})
+		address := start(t, s)
+		p := New(WithDial(func(ctx context.Context, nw, a string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, nw, a)
+			return failingConn{c, pass}, err
+		}))
+		defer p.Close()
+		err := send(t.Context(), p, order(address, s.Boot(), "1", http.MethodPost, "x"))
+		assert.Equal(t, galenalatch.OutcomeOf(err), outcome, "%v", err)
+		assert.Equal(t, s.Stats().Received["1"], 0)
+	}
+}
