--- a/internal/backend/engine/events.go
+++ b/internal/backend/engine/events.go
@@ -21,6 +21,7 @@
 	max   int
 	// skipLF is set after a carriage return, whose line feed belongs to it.
 	skipLF bool
+	begun  bool
 	data   bytes.Buffer
 }
 
@@ -59,6 +60,10 @@
 	hasData := false
 	for e.lines.Scan() {
 		line := e.lines.Bytes()
+		if !e.begun {
+			e.begun = true
+			line = bytes.TrimPrefix(line, []byte("\ufeff"))
+		}
 		if len(line) == 0 {
 			if hasData {
 				v.data = e.data.Bytes()
--- /dev/null
+++ b/internal/backend/engine/time_test.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	standin "github.com/galenalatch/galenalatch/internal/standin/engine"
+	"github.com/galenalatch/galenalatch/internal/standin/network"
+	"github.com/galenalatch/galenalatch/internal/standin/process"
+	"gotest.tools/v3/assert"
+)
+
+// inBubble runs f with a client of s under fake time.
+func inBubble(t *testing.T, settings standin.Settings, f func(t *testing.T, s *standin.Server, c *Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network.New()
+		l, err := n.Listen("a:1")
+		assert.NilError(t, err)
+		s := standin.New(settings)
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { assert.Check(t, s.Serve(ctx, l)) })
+		p := connection.New(connection.WithDial(n.Dial))
+		f(t, s, New(p))
+		p.Close()
+		cancel()
+		g.Wait()
+	})
+}
+
+// TestProgress guards against usage that is reported too rarely for the
+// fairness of long runs, and against counting it wrongly before the engine
+// states it.
+func TestProgress(t *testing.T) {
+	inBubble(t, standin.Settings{TokenTime: 100 * time.Millisecond}, func(t *testing.T, s *standin.Server, c *Client) {
+		var r recorder
+		u, err := c.Run(t.Context(), order("a:1", s.Boot(), "1", "a b", 35, true), &r)
+		assert.NilError(t, err)
+		assert.Equal(t, u, galenalatch.Usage{PromptTokens: 2, OutputTokens: 35})
+		assert.Equal(t, len(r.progress), 3)
+		for i, u := range r.progress {
+			assert.Equal(t, u.OutputTokens, int64(10*i+11))
+		}
+	})
+}
+
+// TestSlowReaders guards against mixed or cut answers when callers read at
+// different speeds over connections that are used again.
+func TestSlowReaders(t *testing.T) {
+	inBubble(t, standin.Settings{Slots: 8, TokenTime: time.Millisecond}, func(t *testing.T, s *standin.Server, c *Client) {
+		var g sync.WaitGroup
+		for i := range 8 {
+			g.Go(func() {
+				for j := range 5 {
+					prompt := fmt.Sprintf("p%d.%d q", i, j)
+					r := recorder{onPiece: func() error {
+						<-time.After(time.Duration(i*j) * 10 * time.Millisecond)
+						return nil
+					}}
+					_, err := c.Run(t.Context(), order("a:1", s.Boot(), prompt, prompt, 30, true), &r)
+					assert.Check(t, err)
+					assert.Check(t, r.text.String() == standin.Answer(prompt, 30))
+				}
+			})
+		}
+		g.Wait()
+	})
+}
+
+// TestHang guards against an order that outlives its context when the engine
+// hangs, and against a slot that stays in use after it.
+func TestHang(t *testing.T) {
+	inBubble(t, standin.Settings{Slots: 1}, func(t *testing.T, s *standin.Server, c *Client) {
+		for _, stream := range []bool{true, false} {
+			s.SetFailures(process.Failures{Hang: true})
+			began := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
+			var r recorder
+			_, err := c.Run(ctx, order("a:1", s.Boot(), "1", "a", 5, stream), &r)
+			cancel()
+			assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
+			assert.Equal(t, time.Since(began), 7*time.Second)
+			assert.Equal(t, r.heads, 0)
+			s.SetFailures(process.Failures{})
+			_, err = c.Run(t.Context(), order("a:1", s.Boot(), "2", "a", 5, stream), &recorder{})
+			assert.NilError(t, err)
+		}
+		synctest.Wait()
+		assert.Equal(t, s.Stats().Cancels, 2)
+		assert.Equal(t, s.Stats().Running, 0)
+	})
+}
--- /dev/null
+++ b/internal/backend/service/client_test.go
@@ -0,0 +1,241 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	"github.com/galenalatch/galenalatch/internal/standin/network"
+	"github.com/galenalatch/galenalatch/internal/standin/process"
+	standin "github.com/galenalatch/galenalatch/internal/standin/service"
+	"gotest.tools/v3/assert"
+)
+
+// recorder keeps an answer.
+type recorder struct {
+	status   int
+	heads    int
+	header   http.Header
+	body     strings.Builder
+	progress []galenalatch.Usage
+	onPiece  func() error
+}
+
+func (r *recorder) Head(status int, h http.Header) error {
+	r.status, r.header = status, h
+	r.heads++
+	return nil
+}
+
+func (r *recorder) Piece(data []byte) error {
+	r.body.Write(data)
+	if r.onPiece != nil {
+		return r.onPiece()
+	}
+	return nil
+}
+
+func (r *recorder) Progress(u galenalatch.Usage) {
+	r.progress = append(r.progress, u)
+}
+
+func start(t testing.TB, s *standin.Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g sync.WaitGroup
+	g.Go(func() { assert.Check(t, s.Serve(ctx, l)) })
+	t.Cleanup(func() {
+		cancel()
+		g.Wait()
+	})
+	return l.Addr().String()
+}
+
+func newClient(t testing.TB, opts ...Option) *Client {
+	p := connection.New()
+	t.Cleanup(p.Close)
+	return New(p, opts...)
+}
+
+func order(address string, boot galenalatch.BootID, id, query string) galenalatch.Order {
+	return galenalatch.Order{
+		Request: galenalatch.RequestID(id), Address: address, Boot: boot,
+		Method: http.MethodPost, Path: "/pickups/" + id + query, Body: []byte("household " + id),
+		Header: http.Header{
+			"Idempotency-Key": {"key-" + id}, "Authorization": {"Bearer x"},
+			"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Expect": {"100-continue"},
+		},
+	}
+}
+
+// TestAnswers guards against answers that are mixed, and against headers that
+// are lost or passed on wrongly.
+func TestAnswers(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	address := start(t, s)
+	c := newClient(t)
+	var g sync.WaitGroup
+	for i := range 40 {
+		g.Go(func() {
+			id := fmt.Sprint(i)
+			var r recorder
+			_, err := c.Run(t.Context(), order(address, s.Boot(), id, []string{"", "?chunked=1"}[i%2]), &r)
+			assert.Check(t, err)
+			var a standin.Record
+			assert.Check(t, json.Unmarshal([]byte(r.body.String()), &a))
+			assert.Check(t, a == standin.Record{Path: "/pickups/" + id, Method: "POST", Request: id, Body: "household " + id, Count: 1}, "%+v", a)
+			assert.Check(t, r.heads == 1 && r.status == http.StatusCreated)
+		})
+	}
+	g.Wait()
+	for i := range 40 {
+		assert.Equal(t, s.Stats().Keys[fmt.Sprintf("key-%d", i)], 1)
+	}
+}
+
+// TestCutBodies guards against a body that ends early without an error, with
+// a length and with chunks, at every position.
+func TestCutBodies(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	address := start(t, s)
+	c := newClient(t)
+	for _, query := range []string{"", "?chunked=1"} {
+		var whole recorder
+		_, err := c.Run(t.Context(), order(address, s.Boot(), "000", query), &whole)
+		assert.NilError(t, err)
+		for cut := 1; cut <= whole.body.Len(); cut++ {
+			s.SetFailures(process.Failures{BreakBytes: cut, BreakTimes: 1})
+			id := fmt.Sprintf("%03d", cut)
+			var r recorder
+			_, err := c.Run(t.Context(), order(address, s.Boot(), id, query), &r)
+			switch {
+			case err == nil:
+				assert.Check(t, cut == whole.body.Len() && query == "", id)
+			case r.heads == 0:
+				assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindServerBroke, id)
+			default:
+				assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke, id)
+				assert.Check(t, r.body.Len() <= cut)
+			}
+		}
+	}
+	for id, n := range s.Stats().Runs {
+		assert.Check(t, n <= 2, "%s ran %d times", id, n)
+	}
+}
+
+// TestDoubtfulAnswers guards against passing on an answer whose end can't be
+// seen, that is too large, or that belongs to another request.
+func TestDoubtfulAnswers(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"noLength": func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it"))
+				_ = c.Close()
+			}
+		},
+		"otherRequest": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "2") },
+		"idleTimeout":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestTimeout) },
+		"longHeader":   func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X", strings.Repeat("x", 128<<10)) },
+		"longBody":     func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1001)) },
+		"longChunks": func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			_, _ = w.Write(make([]byte, 1001))
+		},
+	}
+	for name, f := range answers {
+		t.Run(name, func(t *testing.T) {
+			s := standin.New(standin.Settings{})
+			server := httptest.NewServer(s.Wrap(f))
+			defer server.Close()
+			c := newClient(t, WithMaxBody(1000))
+			var r recorder
+			_, err := c.Run(t.Context(), order(server.Listener.Addr().String(), s.Boot(), "1", ""), &r)
+			assert.Equal(t, r.body.Len(), 0)
+			if name == "longChunks" {
+				assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+				return
+			}
+			assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindServerBroke)
+			assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.OutcomeUnknown)
+			assert.Equal(t, r.heads, 0)
+		})
+	}
+}
+
+// TestHeaders guards against handing on the caller's credentials or fields of
+// one connection, in both directions, and against a changed idempotency key.
+func TestHeaders(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	var got http.Header
+	server := httptest.NewServer(s.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Connection", "X-Inner")
+		w.Header().Set("X-Inner", "1")
+		w.Header().Set("ETag", "7")
+	})))
+	defer server.Close()
+	o := order(server.Listener.Addr().String(), s.Boot(), "1", "")
+	o.Epoch = 5
+	var r recorder
+	_, err := newClient(t).Run(t.Context(), o, &r)
+	assert.NilError(t, err)
+	for k, v := range map[string]string{
+		"Idempotency-Key": "key-1", "X-Request-Id": "1", "X-Fencing-Epoch": "5", "Content-Length": "11",
+		"Authorization": "", "X-Hop": "", "Expect": "", "Connection": "", "Accept-Encoding": "",
+	} {
+		assert.Equal(t, got.Get(k), v, k)
+	}
+	assert.Equal(t, r.header.Get("ETag"), "7")
+	assert.Equal(t, r.header.Get("X-Inner")+r.header.Get("Connection"), "")
+	assert.Equal(t, o.Header.Get("Authorization"), "Bearer x")
+}
+
+// TestTimes guards against a wrong cost of a call, against silence during a
+// long call, and against a run that goes on after its caller has gone.
+func TestTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network.New()
+		l, err := n.Listen("a:1")
+		assert.NilError(t, err)
+		s := standin.New(standin.Settings{WriteTime: 3500 * time.Millisecond})
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { assert.Check(t, s.Serve(ctx, l)) })
+		p := connection.New(connection.WithDial(n.Dial))
+		c := New(p)
+		// The time that the caller takes to read is not the server's.
+		r := recorder{onPiece: func() error { <-time.After(time.Minute); return nil }}
+		u, err := c.Run(t.Context(), order("a:1", s.Boot(), "1", ""), &r)
+		assert.NilError(t, err)
+		assert.Equal(t, u.Millis, int64(3500))
+		assert.Equal(t, len(r.progress), 3)
+		assert.Equal(t, r.progress[2].Millis, int64(3000))
+
+		short, stop := context.WithTimeoutCause(t.Context(), time.Second, errors.New("caller went away"))
+		_, err = c.Run(short, order("a:1", s.Boot(), "2", ""), &recorder{})
+		stop()
+		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
+		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Cancelled)
+		assert.ErrorContains(t, err, "caller went away")
+		synctest.Wait()
+		assert.Equal(t, s.Stats().Cancels, 1)
+		p.Close()
+		cancel()
+		g.Wait()
+	})
+}
