Decide freshness and acceptance of the catalogue

A router may send new work only while its catalogue is provably no older than an accepted change plus a window.

The root package gains optional fields: the lists in Catalogue and Change, and packed ages and checksums in Gossip.

--- a/catalogue.go
+++ b/catalogue.go
@@ -96,6 +96,10 @@
 	OutOfService  []DataCentre `json:"outOfService" cbor:"outOfService" validate:"max=64,unique,dive,required"`
 	ServersOut    []ServerID   `json:"serversOut" cbor:"serversOut" validate:"max=10000,unique,dive,required"`
 	DefaultLimits Entry        `json:"defaultLimits" cbor:"defaultLimits" validate:"-"`
+	// Routers are the routers whose majority counts at this version, and
+	// PreviousRouters those before the last change of Routers.
+	Routers         []RouterID `json:"routers,omitempty" cbor:"routers,omitempty" validate:"max=4096,unique,dive,required"`
+	PreviousRouters []RouterID `json:"previousRouters,omitempty" cbor:"previousRouters,omitempty" validate:"max=4096,unique,dive,required"`
 }
 
 // WithVersion returns a copy with the version v.
--- a/change.go
+++ b/change.go
@@ -23,6 +23,10 @@
 	// PutServersOut and RemoveServersOut do the same for backend servers.
 	PutServersOut    []ServerID `json:"putServersOut,omitempty" cbor:"putServersOut,omitempty"`
 	RemoveServersOut []ServerID `json:"removeServersOut,omitempty" cbor:"removeServersOut,omitempty"`
+	// PutRouters and RemoveRouters change the routers whose majority counts.
+	// Such a change is committed only when the version before it is accepted.
+	PutRouters    []RouterID `json:"putRouters,omitempty" cbor:"putRouters,omitempty"`
+	RemoveRouters []RouterID `json:"removeRouters,omitempty" cbor:"removeRouters,omitempty"`
 	// DefaultLimits replaces the limits of workspaces without an entry.
 	DefaultLimits *Entry `json:"defaultLimits,omitempty" cbor:"defaultLimits,omitempty"`
 }
--- a/message.go
+++ b/message.go
@@ -43,9 +43,20 @@
 	// ConfirmedAgeMillis is the age of the newest read of the catalogue's
 	// head row that showed Version, or -1.
 	ConfirmedAgeMillis int64 `cbor:"confirmedAgeMillis"`
-	// Heard is sent only while the platform's table is not confirmed.
-	Heard   []Heard  `cbor:"heard,omitempty"`
+	// ListSum is a checksum of the sorted list of routers whose majority
+	// counts. A GossipAsk with a ListSum asks for Heard or Ages.
+	ListSum uint64 `cbor:"listSum,omitempty"`
+	// Heard is sent only while the platform's table is not confirmed, to
+	// routers with another list.
+	Heard []Heard `cbor:"heard,omitempty"`
+	// Ages says the same to routers with the same list: one byte for each
+	// router of the list in units of 10 ms, 255 for unknown.
+	Ages []byte `cbor:"ages,omitempty"`
+	// Holders are those that changed a short time ago or that the receiver
+	// may lack.
 	Holders []Holder `cbor:"holders,omitempty"`
+	// HoldersSum is a checksum of all holders that the sender knows.
+	HoldersSum uint64 `cbor:"holdersSum,omitempty"`
 }
 
 // ChangesAsk asks for the catalogue changes after a version.
