--- a/internal/decide/freshness/holders.go
+++ b/internal/decide/freshness/holders.go
@@ -41,6 +41,7 @@
 	// relay is when the router starts to send along what it learns. Before
 	// that it receives all holders page by page, which is no news to others.
 	relay time.Time
+	news  []galenalatch.Holder
 }
 
 func newHolders(started time.Time) holders {
@@ -73,6 +74,7 @@
 	}
 	h.order = append(h.order, n.Cell)
 	h.changed = now
+	h.news = append(h.news, n)
 	return true
 }
 
@@ -126,6 +128,13 @@
 	return h.Holder, ok
 }
 
+// News returns the holders that changed since the last call.
+func (v *View) News() []galenalatch.Holder {
+	news := v.cells.news
+	v.cells.news = nil
+	return news
+}
+
 // Holders returns the newest known holders, in the order of their changes.
 func (v *View) Holders() []galenalatch.Holder {
 	list := make([]galenalatch.Holder, 0, len(v.cells.order))
