Announce waiting work before the lenders run out of it

Cause: a lender stops lending when it has lent as many slots as the last summary announced, and waited for the next period with free slots. A benchmark with all servers in one of four cells and few waiting requests showed it.

--- a/internal/decide/cell/bench_test.go
+++ b/internal/decide/cell/bench_test.go
@@ -130,6 +130,14 @@
 	})
 }
 
+// BenchmarkCellsWithoutServers measures a pool whose servers are all in one of
+// four cells, with few waiting requests. Most slots are lent.
+func BenchmarkCellsWithoutServers(b *testing.B) {
+	z := today(named("w", 16, tenant{class: galenalatch.Interactive, open: 13, cost: 20})...)
+	z.serving = 1
+	each(b, z, func(b *testing.B, t *trial) { saturate(b, t, 60, 120) })
+}
+
 // BenchmarkTermStart measures the first minute after all workspaces wake.
 func BenchmarkTermStart(b *testing.B) {
 	z := today(named("w", 16, tenant{class: galenalatch.Interactive, open: 40, cost: 60})...)
--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -119,12 +119,14 @@
 	collected    bool
 	busy         bool
 	announced    galenalatch.Summary
-	nextSummary  time.Time
-	refresh      time.Time
-	nextScan     time.Time
-	nextForget   time.Time
-	changed      bool
-	out          []galenalatch.Outgoing
+	// received counts the slots borrowed since the last summary.
+	received   int
+	summarised time.Time
+	refresh    time.Time
+	nextScan   time.Time
+	nextForget time.Time
+	changed    bool
+	out        []galenalatch.Outgoing
 }
 
 // New returns the state of a cell that the router has just taken over. All
@@ -234,7 +236,7 @@
 		}
 	}
 	if !c.stopped && (c.announced.Waiting > 0 || c.queue.Ready() > 0) {
-		add(c.nextSummary)
+		add(c.summaryDue())
 	}
 	if len(c.grants) > 0 || len(c.loans) > 0 || len(c.offers) > 0 || c.anyDown() {
 		add(c.nextScan)
--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -249,6 +249,7 @@
 		return
 	}
 	c.offers = append(c.offers, o)
+	c.received++
 }
 
 // askWait is how long a new holder leaves questions about lent slots
@@ -303,10 +304,10 @@
 // busy, and once more when it has become quiet.
 func (c *Cell) summarise(now time.Time) {
 	ready := c.queue.Ready()
-	if c.stopped || ready == 0 && c.announced.Waiting == 0 || now.Before(c.nextSummary) {
+	if c.stopped || ready == 0 && c.announced.Waiting == 0 || now.Before(c.summaryDue()) {
 		return
 	}
-	c.nextSummary = now.Add(c.cfg.SummaryPeriod)
+	c.summarised = now
 	m := galenalatch.Summary{
 		Cell: c.cfg.ID, Epoch: c.cfg.Epoch, VirtualTime: c.queue.VirtualTime(),
 		Waiting: ready, Free: c.servers.Free(now),
@@ -315,17 +316,30 @@
 		return
 	}
 	c.refresh = now.Add(c.cfg.SummaryRefresh)
-	c.announced = m
+	c.announced, c.received = m, 0
 	for _, id := range slices.SortedFunc(maps.Keys(c.peers), compareCells) {
 		c.send(c.peers[id].router, m)
 	}
 }
 
+// summaryDue returns when the next summary may be sent. It is early when the
+// lenders believe that no work waits here, so that their slots do not stay
+// idle for a whole period.
+func (c *Cell) summaryDue() time.Time {
+	if c.queue.Ready() > 0 && c.received >= c.announced.Waiting {
+		return c.summarised.Add(c.cfg.SummaryPeriod / 10)
+	}
+	return c.summarised.Add(c.cfg.SummaryPeriod)
+}
+
 // differs reports whether a summary would lead other cells to other decisions
 // than the last one. A difference of virtual time below half the tolerance
-// would not, since it can only double the tolerance's part of the bound.
+// would not, since it can only double the tolerance's part of the bound. A
+// lender stops when it has lent as many slots as were announced to wait, so
+// a new summary is due before that.
 func (c *Cell) differs(m galenalatch.Summary) bool {
 	o := c.announced
 	d := m.VirtualTime - o.VirtualTime
-	return max(d, -d) > c.cfg.LendTolerance/2 || m.Waiting > 2*o.Waiting || 2*m.Waiting < o.Waiting
+	return max(d, -d) > c.cfg.LendTolerance/2 || m.Waiting > 2*o.Waiting || 2*m.Waiting < o.Waiting ||
+		2*c.received >= o.Waiting
 }
--- a/internal/decide/cell/load_test.go
+++ b/internal/decide/cell/load_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -39,8 +40,10 @@
 	// workers is the number of servers of the pool.
 	workers int
 	// nodes is the pool's part of the routers.
-	nodes      int
-	unit       time.Duration
+	nodes int
+	unit  time.Duration
+	// serving is the number of cells with servers, or 0 for all.
+	serving    int
 	maxRunning int
 	tenants    []tenant
 	config     Config
@@ -120,7 +123,7 @@
 		w.addNode(fmt.Sprint("d", i%z.centres))
 	}
 	for i := range z.workers {
-		w.addServer(fmt.Sprint("s", i), t.ids[i%len(t.ids)])
+		w.addServer(fmt.Sprint("s", i), t.ids[i%cmp.Or(z.serving, len(t.ids))])
 	}
 	for i, id := range t.ids {
 		t.cells = append(t.cells, id.String())
