Join the gossip and the limits of the caller side

Cause: freshness came from the router's own reads of the table only, so that a platform outage stopped all new work after 2 s, and a change counted as accepted by one router. Change: the gossip proves freshness, passes on changes and holders, and counts the routers that hold a version; both callers' handlers share one limit per workspace; a pending change is logged as pending.

--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -307,6 +307,13 @@
 	return e.view.Accepted(time.Now(), v)
 }
 
+// Versions returns the newest version that each router is known to hold.
+func (e *Exchange) Versions() map[galenalatch.RouterID]galenalatch.Version {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view.Versions()
+}
+
 // Watch makes the next rounds ask the routers that are not known to hold
 // the version.
 func (e *Exchange) Watch(v galenalatch.Version) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -64,8 +64,6 @@
 	Observer Observer
 	// MaxWait bounds the wait for a grant, for each class.
 	MaxWait map[galenalatch.Class]time.Duration
-	// MaxHeld bounds the requests that the entry holds for a workspace.
-	MaxHeld int
 }
 
 // Observer receives one call for each grant and each request.
@@ -102,9 +100,6 @@
 			galenalatch.Batch:       15 * time.Minute,
 		}
 	}
-	if o.MaxHeld == 0 {
-		o.MaxHeld = 10000
-	}
 	if o.Observer == nil {
 		o.Observer = discard{}
 	}
@@ -113,7 +108,6 @@
 		base:     time.Now(),
 		pending:  make(map[galenalatch.RequestID]*pending),
 		running:  make(map[galenalatch.RequestID]*running),
-		held:     make(map[galenalatch.WorkspaceName]int),
 		serials:  make(map[galenalatch.RequestID]map[galenalatch.CellID]uint64),
 		ended:    make(map[endedKey]finished),
 		leases:   make(map[galenalatch.CellID]lease),
@@ -127,11 +121,7 @@
 func (e *Entry) Active() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	n := 0
-	for _, k := range e.held {
-		n += k
-	}
-	return n
+	return len(e.serials)
 }
 
 // Counts returns the waiting and the running requests of each workspace.
@@ -152,9 +142,7 @@
 // Submit implements galenalatch.Submitter.
 func (e *Entry) Submit(ctx context.Context, r galenalatch.Request, s galenalatch.Sink) error {
 	started := time.Now()
-	if err := e.hold(r); err != nil {
-		return err
-	}
+	e.hold(r)
 	defer e.unhold(r)
 	m := &meter{Sink: s, entry: e, request: r, started: started}
 	err := e.submit(ctx, r, m)
@@ -179,26 +167,15 @@
 	return err
 }
 
-func (e *Entry) hold(r galenalatch.Request) error {
+func (e *Entry) hold(r galenalatch.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := r.Workspace
-	if e.held[w] >= e.options.MaxHeld {
-		return galenalatch.KindQueueFull.Errorf("workspace %q has %d requests on this router", w, e.held[w])
-	}
-	e.held[w]++
 	e.serials[r.ID] = make(map[galenalatch.CellID]uint64)
-	return nil
 }
 
 func (e *Entry) unhold(r galenalatch.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := r.Workspace
-	e.held[w]--
-	if e.held[w] == 0 {
-		delete(e.held, w)
-	}
 	delete(e.serials, r.ID)
 }
 
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -11,9 +11,11 @@
 	"github.com/galenalatch/galenalatch/internal/backend/report"
 	"github.com/galenalatch/galenalatch/internal/backend/service"
 	"github.com/galenalatch/galenalatch/internal/caller/auth"
+	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/openai"
 	"github.com/galenalatch/galenalatch/internal/caller/plain"
 	configcatalogue "github.com/galenalatch/galenalatch/internal/config/catalogue"
+	"github.com/galenalatch/galenalatch/internal/decide/freshness"
 	"github.com/galenalatch/galenalatch/internal/decide/lease"
 	"github.com/galenalatch/galenalatch/internal/operator/api"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
@@ -46,7 +48,6 @@
 	r.catalogue = catalogue.New(rows, object.New(c),
 		catalogue.WithValidation(configcatalogue.New().Check),
 		catalogue.WithNotify(r.onCatalogue))
-	r.views = &views{router: r}
 	r.claims = claims.New(rows, object.New(c))
 	r.leases = leases.New(rows, r.settings.ID, r.start,
 		leases.WithConfig(lease.Config{
@@ -62,11 +63,19 @@
 	r.mesh.SetPeers(slices.DeleteFunc(slices.Clone(list), func(i galenalatch.Instance) bool {
 		return i.Role != galenalatch.RouterRole
 	}))
+	var routers []galenalatch.RouterID
+	for _, i := range list {
+		if i.Role == galenalatch.RouterRole {
+			routers = append(routers, galenalatch.RouterID(i.ID))
+		}
+	}
+	r.gossip.SetListed(routers)
 	r.log.Event(events.InstancesRead, "instances", len(list))
 }
 
 func (r *Router) onCatalogue(c galenalatch.Catalogue) {
 	r.fleet.SetCatalogue(c)
+	r.gossip.Hold(c.Version, freshness.Lists{})
 	r.log.Event(events.CatalogueApplied, "version", c.Version)
 }
 
@@ -82,6 +91,9 @@
 	case s.Epoch == 0 && s.Holder != r.settings.ID:
 		return
 	}
+	if h, ok := r.rowHolder(c, s); ok {
+		r.gossip.SetHolder(h)
+	}
 	r.log.Event(n, "cell", c, "epoch", max(s.Epoch, s.HolderEpoch))
 }
 
@@ -105,8 +117,8 @@
 }
 
 func (r *Router) onMessage(from galenalatch.RouterID, m galenalatch.Message) {
-	if !r.entry.Handle(from, m) {
-		r.host.Handle(from, m)
+	if !r.entry.Handle(from, m) && !r.host.Handle(from, m) {
+		r.gossip.Handle(from, m)
 	}
 }
 
@@ -141,20 +153,19 @@
 	r.entry = entry.New(entry.Options{
 		Self:      r.settings.ID,
 		Directory: r.fleet.Directory,
-		Holder:    r.views.holder,
+		Holder:    r.holder,
 		Reachable: r.reachable,
-		Fresh:     r.views.fresh,
+		Fresh:     r.fresh,
 		Send:      r.mesh.Send,
 		Runner:    func(k galenalatch.PoolKind) galenalatch.Runner { return runners[k] },
 		Claims:    claimAdapter{r.claims},
 		Observer:  observer{r},
-		MaxHeld:   r.settings.Limits.ConnectionsPerWorkspace,
 	})
 	r.host = dispatch.New(dispatch.Options{
 		Self:      r.settings.ID,
 		Directory: r.fleet.Directory,
 		Leases:    r.heldLeases,
-		Holders:   r.views.holders,
+		Holders:   r.holders,
 		Reporter:  report.New(),
 		Send:      r.mesh.Send,
 	})
@@ -194,11 +205,12 @@
 		return err
 	}
 	keys := auth.New(r.catalogue.Current)
+	limit := connections.New(r.settings.Limits.ConnectionsPerWorkspace, r.settings.Limits.HeldBytesPerWorkspace)
 	chat := openai.New(r.entry, r.catalogue.Current, keys.Workspace,
-		openai.WithBodyLimit(r.settings.Limits.BodyBytes), openai.WithObserver(r.metrics.Ended))
+		openai.WithBodyLimit(r.settings.Limits.BodyBytes), openai.WithLimit(limit), openai.WithObserver(r.metrics.Ended))
 	calls := plain.New(r.entry, r.catalogue.Current, keys.Workspace,
-		plain.WithBodyLimit(r.settings.Limits.BodyBytes), plain.WithObserver(r.metrics.Ended))
-	verbs := api.New(r.catalogue, api.Fleet{Status: r.status, Accepted: r.views.accepted, Instances: r.fleet.Instances},
+		plain.WithBodyLimit(r.settings.Limits.BodyBytes), plain.WithLimit(limit), plain.WithObserver(r.metrics.Ended))
+	verbs := api.New(r.catalogue, api.Fleet{Status: r.status, Accepted: r.accepted, Instances: r.fleet.Instances},
 		galenalatch.Diff, auth.Token(operator), api.WithObserver(r.onChange))
 
 	a := r.settings.Listen
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/connection"
 	"github.com/galenalatch/galenalatch/internal/config/settings"
+	"github.com/galenalatch/galenalatch/internal/peer/gossip"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
 	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
 	"github.com/galenalatch/galenalatch/internal/platform/claims"
@@ -40,7 +41,7 @@
 	mesh        *link.Mesh
 	entry       *entry.Entry
 	host        *dispatch.Host
-	views       *views
+	gossip      *gossip.Exchange
 	connections *connection.Pool
 	metrics     *metrics.Metrics
 	listener    *listener.Server
@@ -62,7 +63,7 @@
 		listener: listener.New(s.Limits.HeaderBytes),
 	}
 	r.platform.log = r.log
-	for _, step := range []func() error{r.joinPlatform, r.joinPeers, r.joinRequests, r.joinListener} {
+	for _, step := range []func() error{r.joinPlatform, r.joinPeers, r.joinGossip, r.joinRequests, r.joinListener} {
 		if err := step(); err != nil {
 			return nil, fmt.Errorf("router %s: %w", s.ID, err)
 		}
@@ -84,7 +85,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	for _, run := range []func(context.Context) error{
-		r.fleet.Run, r.leases.Run, r.claims.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.views.run, r.runRanks,
+		r.fleet.Run, r.leases.Run, r.claims.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.gossip.Run, r.runRanks,
 	} {
 		g.Go(func() error { return run(work) })
 	}
@@ -120,6 +121,7 @@
 	for {
 		if r.fleet.Seen() {
 			r.leases.SetCells(r.ranks())
+			r.publishHolders()
 		}
 		r.setReady()
 		select {
@@ -169,5 +171,5 @@
 	if !r.fleet.Seen() {
 		return galenalatch.KindCatalogueStale.Errorf("the instance list was not read yet")
 	}
-	return r.views.fresh()
+	return r.fresh()
 }
--- a/internal/process/router/status.go
+++ b/internal/process/router/status.go
@@ -22,10 +22,10 @@
 		Start:      r.start,
 		DataCentre: r.settings.DataCentre,
 		Version:    r.catalogue.Current().Version,
-		Fresh:      r.views.fresh() == nil,
+		Fresh:      r.fresh() == nil,
 		Ready:      r.notReady() == nil,
 		Draining:   r.draining.Load(),
-		Held:       r.views.held(),
+		Held:       r.gossip.Versions(),
 	}
 	s.Waiting, s.Running = r.entry.Counts()
 	for _, c := range r.host.Status(ctx) {
@@ -61,19 +61,18 @@
 // onChange logs and counts an operator's request for a change.
 func (r *Router) onChange(ch galenalatch.Change, m message.Result, err error) {
 	r.metrics.Changed(err)
-	switch galenalatch.KindOf(err) {
-	case galenalatch.KindUnauthorized:
+	switch {
+	case err == nil && m.State == message.Pending:
+		r.log.Event(events.ChangePending, "change", ch.ID, "author", ch.Author, "version", m.Version)
+	case err == nil:
+		r.log.Event(events.ChangeAccepted, "change", ch.ID, "author", ch.Author, "version", m.Version)
+	case galenalatch.KindOf(err) == galenalatch.KindUnauthorized:
 		r.log.Event(events.OperatorRejected, "error", err)
-		return
-	case galenalatch.KindConflict:
+	case galenalatch.KindOf(err) == galenalatch.KindConflict:
 		r.log.Event(events.ChangeConflict, "change", ch.ID, "author", ch.Author)
-		return
-	}
-	if err != nil {
-		r.log.Event(events.ChangePending, "change", ch.ID, "author", ch.Author, "error", err)
-		return
+	default:
+		r.log.Event(events.ChangeRefused, "change", ch.ID, "author", ch.Author, "error", err)
 	}
-	r.log.Event(events.ChangeAccepted, "change", ch.ID, "author", ch.Author, "version", m.Version)
 }
 
 // observer passes the entry's measurements on.
--- a/internal/process/router/views.go
+++ b/internal/process/router/views.go
@@ -2,93 +2,116 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/freshness"
+	"github.com/galenalatch/galenalatch/internal/peer/gossip"
+	"github.com/galenalatch/galenalatch/internal/platform/leases"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
 
-// views keeps the catalogue and the holders of cells up to date.
-type views struct {
-	router *Router
-	mu     sync.Mutex
-	read   time.Time
+// joinGossip makes the exchange of versions and holders with other routers.
+func (r *Router) joinGossip() error {
+	var err error
+	r.gossip, err = gossip.New(gossip.Options{
+		Self:    r.settings.ID,
+		Send:    r.mesh.Send,
+		Changes: changes{r},
+		Head: func(ctx context.Context) (galenalatch.Version, error) {
+			v, _, err := r.catalogue.Confirm(ctx)
+			r.platform.note(err)
+			return v, err
+		},
+		FreshChanged: func(fresh bool, reason freshness.Reason) {
+			n := events.CatalogueStale
+			if fresh {
+				n = events.CatalogueFresh
+			}
+			r.log.Event(n, "reason", reason, "version", r.catalogue.Current().Version)
+		},
+		HolderChanged: func(h galenalatch.Holder) {
+			if h.Router != r.settings.ID {
+				r.leases.Heard(h.Cell, h.Epoch)
+			}
+		},
+	})
+	return err
 }
 
-const (
-	confirmEvery  = 500 * time.Millisecond
-	freshFor      = 2 * time.Second
-	confirmWithin = time.Second
-)
-
-func (v *views) run(ctx context.Context) error {
-	return v.loop(ctx)
+// changes gives peers the catalogue's changes and takes in theirs.
+type changes struct {
+	router *Router
 }
 
-func (v *views) loop(ctx context.Context) error {
-	tick := time.NewTicker(confirmEvery)
-	defer tick.Stop()
-	for {
-		v.confirm(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+// ChangesAfter implements gossip.Changes.
+func (c changes) ChangesAfter(v galenalatch.Version) [][]byte {
+	return c.router.catalogue.ChangesAfter(v)
 }
 
-func (v *views) confirm(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, confirmWithin)
-	defer cancel()
-	_, sent, err := v.router.catalogue.Confirm(ctx)
-	v.router.platform.note(err)
+// Learn implements gossip.Changes.
+func (c changes) Learn(encoded [][]byte) error {
+	_, err := c.router.catalogue.Learn(encoded)
 	if err != nil {
-		return
+		c.router.log.Event(events.CatalogueInvalid, "error", err)
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.read = sent
+	return err
 }
 
-func (v *views) fresh() error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if age := time.Since(v.read); age > freshFor {
-		return galenalatch.KindCatalogueStale.Errorf("the catalogue was last confirmed %s ago", age.Round(time.Millisecond))
+// fresh returns nil while the catalogue is known to be current.
+func (r *Router) fresh() error {
+	if ok, reason := r.gossip.Fresh(); !ok {
+		return galenalatch.KindCatalogueStale.Errorf("the catalogue of version %d is not confirmed (%s)", r.catalogue.Current().Version, reason)
 	}
 	return nil
 }
 
-// holder returns the newest known holder of a cell.
-func (v *views) holder(c galenalatch.CellID) (galenalatch.Holder, bool) {
-	s := v.router.leases.State(c)
+// accepted returns how many of the listed routers hold a version.
+func (r *Router) accepted(v galenalatch.Version) (held, total int) {
+	r.gossip.Watch(v)
+	return r.gossip.Accepted(v)
+}
+
+// publishHolders tells the other routers which holders the lease rows name.
+func (r *Router) publishHolders() {
+	for c, s := range r.leases.States() {
+		if h, ok := r.rowHolder(c, s); ok {
+			r.gossip.SetHolder(h)
+		}
+	}
+}
+
+// rowHolder returns the holder of a cell by what is known of its row.
+func (r *Router) rowHolder(c galenalatch.CellID, s leases.State) (galenalatch.Holder, bool) {
 	if s.Epoch != 0 && (s.Held || s.Lapsed) {
-		return galenalatch.Holder{Cell: c, Router: v.router.settings.ID, Epoch: s.Epoch}, true
+		return galenalatch.Holder{Cell: c, Router: r.settings.ID, Epoch: s.Epoch}, true
 	}
-	if s.Holder == "" || s.Released || s.Holder == v.router.settings.ID {
+	if s.Holder == "" || s.Released || s.Holder == r.settings.ID {
 		return galenalatch.Holder{}, false
 	}
 	return galenalatch.Holder{Cell: c, Router: s.Holder, Epoch: s.HolderEpoch}, true
 }
 
+// holder returns the newest known holder of a cell.
+func (r *Router) holder(c galenalatch.CellID) (galenalatch.Holder, bool) {
+	s := r.leases.State(c)
+	row, byRow := r.rowHolder(c, s)
+	heard, byPeer := r.gossip.Holder(c)
+	switch {
+	case byPeer && heard.Epoch > max(row.Epoch, s.HolderEpoch):
+		return heard, true
+	case byRow:
+		return row, true
+	}
+	return galenalatch.Holder{}, false
+}
+
 // holders returns the newest known holders of all cells.
-func (v *views) holders() []galenalatch.Holder {
+func (r *Router) holders() []galenalatch.Holder {
 	var all []galenalatch.Holder
-	for _, c := range v.router.fleet.Directory().AllCells() {
-		if h, ok := v.holder(c); ok {
+	for _, c := range r.fleet.Directory().AllCells() {
+		if h, ok := r.holder(c); ok {
 			all = append(all, h)
 		}
 	}
 	return all
 }
-
-// held returns the versions that routers are known to hold.
-func (v *views) held() map[galenalatch.RouterID]galenalatch.Version {
-	return map[galenalatch.RouterID]galenalatch.Version{v.router.settings.ID: v.router.catalogue.Current().Version}
-}
-
-// accepted returns how many of the listed routers hold a version.
-func (v *views) accepted(galenalatch.Version) (held, total int) {
-	return 1, 1
-}
