--- a/internal/decide/cell/fuzz_test.go
+++ b/internal/decide/cell/fuzz_test.go
@@ -36,6 +36,7 @@
 	p := galenalatch.Pool{Name: "m", ColdLimit: cold, WarmLimit: cold + rapid.IntRange(0, 6).Draw(t, "warm"), MaxCost: 100}
 	f := &fuzz{world: newWorld(rapid.Uint64().Draw(t, "seed"), p)}
 	f.leases = true
+	f.catalogue.DefaultLimits = galenalatch.Entry{Weight: 1, MaxRunning: rapid.IntRange(1, 4).Draw(t, "max running")}
 	f.fail = t.Fatalf
 	f.onEnd = func(*call) { f.open-- }
 	f.transmit = func(_, _ *node) []time.Duration {
@@ -44,12 +45,12 @@
 			return d
 		}
 		switch x := f.rng.IntN(100); {
-		case x < 5:
+		case x < 10:
 			return nil
-		case x < 15:
+		case x < 30:
 			return append(d, time.Duration(f.rng.IntN(8000))*time.Millisecond)
-		case x < 25:
-			return []time.Duration{time.Duration(f.rng.IntN(1500)) * time.Millisecond}
+		case x < 50:
+			return []time.Duration{time.Duration(f.rng.IntN(4000)) * time.Millisecond}
 		}
 		return d
 	}
@@ -208,7 +209,7 @@
 			return "no holder"
 		}
 		s := h.cell.Status(f.now)
-		n := s.Waiting + s.Granted + s.Lent
+		n := s.Waiting + s.Granted + s.Lent + len(s.Workspaces)
 		for _, v := range s.Servers {
 			n += v.Running + v.Foreign
 		}
