--- a/internal/decide/lease/step.go
+++ b/internal/decide/lease/step.go
@@ -11,6 +11,9 @@
 // unknown time, which only ends the lease earlier.
 const maxUnclear = 8
 
+// idleReads makes the reads of a router that is no candidate rarer.
+const idleReads = 8
+
 // Action is what the caller must do next: read the row and call Observe, or
 // carry out the write and call Result, or nothing.
 type Action struct {
@@ -184,6 +187,10 @@
 		return
 	}
 	l.needRead, l.nextRead = false, now.Add(l.config.Read)
+	if l.rank < 0 {
+		// The row only informs a router that is no candidate.
+		l.nextRead = now.Add(idleReads * l.config.Read)
+	}
 	// A candidate that could not read for a while starts to wait anew: after
 	// an outage of the platform the holder gets the time to renew.
 	gap := l.blind(now)
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -83,6 +83,7 @@
 		_, err := c.Put(t.Context(), galenalatch.Write{Key: "k", Value: []byte("late")})
 		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindUnclear)
 		s.SetFaults(platform.Faults{})
+		synctest.Wait()
 		_, err = c.Get(t.Context(), "k")
 		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindNotFound)
 		<-time.After(time.Second)
