Bound the claims that wait for the platform

Cause: while the platform hangs, every claim leaves a result that is retried until it is written. Nothing bounded them, and each retry was a read of its own: 2000 results would have made 6700 reads a second. Change: a result is written first, in a batch, and the row is read only after a conflict; retries back off to 5 s; at 2000 pending results the platform is down for new claims.

--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -86,8 +86,9 @@
 	// long the platform may fail before the claim is given up.
 	Wait, Resolve time.Duration
 	// Poll is the first time between two reads of a row that another process
-	// has claimed; it grows up to MaxPoll. Retry separates failed calls.
-	Poll, MaxPoll, Retry time.Duration
+	// has claimed; it grows up to MaxPoll. Retry is the time after the first
+	// failed call; it grows up to MaxRetry.
+	Poll, MaxPoll, Retry, MaxRetry time.Duration
 }
 
 // Claim is the attempt of one process to run a request, and then the writing
@@ -114,13 +115,13 @@
 
 	needRead     bool
 	at           time.Time
-	poll         time.Duration
+	poll, retry  time.Duration
 	failingSince time.Time
 }
 
 // New starts a claim at the time now.
 func New(c Config, now time.Time) *Claim {
-	return &Claim{config: c, started: now, deadline: now.Add(c.Wait), at: now, poll: c.Poll}
+	return &Claim{config: c, started: now, deadline: now.Add(c.Wait), at: now, poll: c.Poll, retry: c.Retry}
 }
 
 // Verdict returns the verdict, or Open.
@@ -160,8 +161,9 @@
 	}
 	v.Claim, v.Fingerprint, v.At = c.config.ID, c.config.Fingerprint, c.started.UTC()
 	c.final = &v
-	// Without the verdict Run it is not known which row there is.
-	c.needRead, c.at = c.verdict != Run, now
+	// The write is conditional on what was last known. A conflict leads to a
+	// read; otherwise writes are enough, and those are batched.
+	c.needRead, c.at = false, now
 }
 
 // Settled reports whether the writing that Finish or Release started is done.
--- a/internal/decide/claim/step.go
+++ b/internal/decide/claim/step.go
@@ -48,7 +48,7 @@
 // Result tells the result of the write that Next returned.
 func (c *Claim) Result(now time.Time, row galenalatch.Row, err error) {
 	if err == nil {
-		c.failingSince = time.Time{}
+		c.worked()
 		c.exists, c.tag = true, row.Tag
 		c.unclear = false
 		if c.final != nil {
@@ -69,15 +69,14 @@
 			c.giveUp()
 			return
 		}
-		c.needRead = true
+		c.needRead = c.final == nil
 		c.failed(now)
 	default:
+		c.failed(now)
 		if c.final == nil {
 			c.unclear, c.pending = true, c.tag
+			c.needRead, c.at = true, now
 		}
-		c.needRead = true
-		c.failed(now)
-		c.at = now
 	}
 }
 
@@ -90,7 +89,13 @@
 	if c.verdict == Open && now.Sub(c.failingSince) >= c.config.Resolve {
 		c.giveUp()
 	}
-	c.at = now.Add(c.config.Retry)
+	c.at = now.Add(c.retry)
+	c.retry = min(2*c.retry, c.config.MaxRetry)
+}
+
+// worked notes a call that did not fail.
+func (c *Claim) worked() {
+	c.failingSince, c.retry = time.Time{}, c.config.Retry
 }
 
 // Observe tells the result of a read of the row.
@@ -100,7 +105,7 @@
 		c.failed(now)
 		return
 	}
-	c.failingSince = time.Time{}
+	c.worked()
 	c.exists, c.tag = !missing, row.Tag
 	if missing {
 		c.tag = ""
--- a/internal/platform/claims/store.go
+++ b/internal/platform/claims/store.go
@@ -24,6 +24,9 @@
 	// claims of further ones stay unfinished, so repeated requests are told
 	// that the outcome is unknown.
 	maxPendingBytes = 64 << 20
+	// maxPending bounds the results that wait for the platform. When it is
+	// reached, the platform is down for new claims.
+	maxPending = 2000
 )
 
 // Store makes claims for one process. Its methods may be called concurrently
@@ -61,6 +64,9 @@
 			Poll:    100 * time.Millisecond,
 			MaxPoll: time.Second,
 			Retry:   300 * time.Millisecond,
+			// Pending results of all routers must not overload a platform
+			// that comes back.
+			MaxRetry: 5 * time.Second,
 		},
 		settles: make(chan *settlement),
 		stopped: make(chan struct{}),
@@ -108,6 +114,9 @@
 // KindPlatformDown (this call runs nothing), KindUnclear (it has run, but its
 // answer cannot be read) or KindCallerGone.
 func (s *Store) Claim(ctx context.Context, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
+	if s.Pending() >= maxPending {
+		return nil, nil, galenalatch.KindPlatformDown.Errorf("%d results of claims wait for the platform", maxPending)
+	}
 	config := s.config
 	config.Key, config.ID, config.Fingerprint = rowKey(w, p, key), uuid.NewString(), fingerprint
 	c := claim.New(config, time.Now())
