--- a/internal/platform/claims/store.go
+++ b/internal/platform/claims/store.go
@@ -24,6 +24,9 @@
 	// claims of further ones stay unfinished, so repeated requests are told
 	// that the outcome is unknown.
 	maxPendingBytes = 64 << 20
+	// maxPending bounds the results that wait for the platform. When it is
+	// reached, the platform is down for new claims.
+	maxPending = 2000
 )
 
 // Store makes claims for one process. Its methods may be called concurrently
@@ -61,6 +64,9 @@
 			Poll:    100 * time.Millisecond,
 			MaxPoll: time.Second,
 			Retry:   300 * time.Millisecond,
+			// Pending results of all routers must not overload a platform
+			// that comes back.
+			MaxRetry: 5 * time.Second,
 		},
 		settles: make(chan *settlement),
 		stopped: make(chan struct{}),
@@ -108,12 +114,18 @@
 // KindPlatformDown (this call runs nothing), KindUnclear (it has run, but its
 // answer cannot be read) or KindCallerGone.
 func (s *Store) Claim(ctx context.Context, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
+<<<<<<< HEAD
 	return s.claim(ctx, s.config, w, p, key, fingerprint)
 }
 
 // Try is like Claim, but does not wait for a claim of another process: it
 // returns an error of KindInProgress at once.
 func (s *Store) Try(ctx context.Context, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
+=======
+	if s.Pending() >= maxPending {
+		return nil, nil, galenalatch.KindPlatformDown.Errorf("%d results of claims wait for the platform", maxPending)
+	}
+>>>>>>> state
 	config := s.config
 	config.NoWait = true
 	return s.claim(ctx, config, w, p, key, fingerprint)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -81,7 +81,6 @@
 	mu      sync.Mutex
 	pending map[galenalatch.RequestID]*pending
 	running map[galenalatch.RequestID]*running
-	held    map[galenalatch.WorkspaceName]int
 	// serials holds, for each held request, the newest grant of each cell.
 	serials  map[galenalatch.RequestID]map[galenalatch.CellID]uint64
 	ended    map[endedKey]finished
