Resolve the merge of the claim store

Cause: the last merge left both versions of Claim in the file. Change: Try and Claim share one function, which refuses new claims while too many results wait for the platform.

--- a/internal/platform/claims/store.go
+++ b/internal/platform/claims/store.go
@@ -114,24 +114,21 @@
 // KindPlatformDown (this call runs nothing), KindUnclear (it has run, but its
 // answer cannot be read) or KindCallerGone.
 func (s *Store) Claim(ctx context.Context, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
-<<<<<<< HEAD
 	return s.claim(ctx, s.config, w, p, key, fingerprint)
 }
 
 // Try is like Claim, but does not wait for a claim of another process: it
 // returns an error of KindInProgress at once.
 func (s *Store) Try(ctx context.Context, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
-=======
-	if s.Pending() >= maxPending {
-		return nil, nil, galenalatch.KindPlatformDown.Errorf("%d results of claims wait for the platform", maxPending)
-	}
->>>>>>> state
 	config := s.config
 	config.NoWait = true
 	return s.claim(ctx, config, w, p, key, fingerprint)
 }
 
 func (s *Store) claim(ctx context.Context, config claim.Config, w galenalatch.WorkspaceName, p galenalatch.PoolName, key, fingerprint string) (*Handle, *claim.Answer, error) {
+	if s.Pending() >= maxPending {
+		return nil, nil, galenalatch.KindPlatformDown.Errorf("%d results of claims wait for the platform", maxPending)
+	}
 	config.Key, config.ID, config.Fingerprint = rowKey(w, p, key), uuid.NewString(), fingerprint
 	c := claim.New(config, time.Now())
 	for c.Verdict() == claim.Open && ctx.Err() == nil {
