Keep the bytes that arrive with the upgrade request

The accepting side lost the first bytes of the Hello when they arrived before the connection was taken from the HTTP server: the WebSocket library resets the reader after it took the buffered bytes, and the reader that was handed to it had none buffered. The server's own reader is handed over now.

--- a/internal/peer/link/handshake.go
+++ b/internal/peer/link/handshake.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -201,11 +199,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	early, err := rw.Reader.Peek(rw.Reader.Buffered())
-	if err != nil {
-		return nil, nil, errors.Join(err, c.Close())
-	}
+	// The reader may hold the first bytes of the peer's Hello; the library
+	// takes them from it before it reads from the connection.
 	n := &counted{c, h.session}
-	r := bufio.NewReader(io.MultiReader(bytes.NewReader(early), n))
-	return n, bufio.NewReadWriter(r, bufio.NewWriter(n)), nil
+	return n, bufio.NewReadWriter(rw.Reader, bufio.NewWriter(n)), nil
 }
--- a/internal/peer/link/mesh_test.go
+++ b/internal/peer/link/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -214,6 +215,31 @@
 	})
 }
 
+// Guards against a Hello that is lost when it arrives together with the
+// request. On a busy machine its first byte did.
+func TestHelloWithRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		a := n.start("a", "s1")
+		codec, err := wire.New()
+		assert.NilError(t, err)
+		hello, err := codec.Encode(galenalatch.Hello{Router: "x", Start: "s1", Protocol: Protocol})
+		assert.NilError(t, err)
+		frame := codec.AppendFrame(nil, [][]byte{hello})
+		c, err := n.dial(t.Context(), "tcp", "a")
+		assert.NilError(t, err)
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		_, err = c.Write(slices.Concat([]byte("GET /peer HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer token\r\n"+
+			"Galenalatch-Router: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"+
+			"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"),
+			[]byte{0x82, 0x80 | byte(len(frame)), 0, 0, 0, 0}, frame))
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.DeepEqual(t, a.take(), []string{"up x s1"})
+		assert.NilError(t, c.Close())
+	})
+}
+
 // Guards against peers that are accepted without the token, with another
 // protocol, or whose frames break the rules.
 func TestRejected(t *testing.T) {
