--- a/internal/decide/cell/fuzz_test.go
+++ b/internal/decide/cell/fuzz_test.go
@@ -144,6 +144,24 @@
 	}
 }
 
+// release hands a cell over to another router.
+func (f *fuzz) release(id galenalatch.CellID) {
+	r := f.rows[id]
+	n := r.holder
+	h := n.cells[id]
+	if h == nil || h.epoch != r.epoch || !n.reachesPlatform() {
+		return
+	}
+	h.cell.Stop()
+	m := h.cell.Handover()
+	r.released = true
+	f.after(500*time.Millisecond, func() {
+		if r.epoch > h.epoch {
+			n.do(func() { n.send(r.holder.id, m) })
+		}
+	})
+}
+
 func (f *fuzz) coldRestart(t *rapid.T) {
 	id := rapid.SampledFrom([]galenalatch.ServerID{"sa0", "sa1", "sb0"}).Draw(t, "server")
 	if s := f.servers[id]; s != nil {
@@ -256,7 +274,10 @@
 					f.coldRestart(t)
 				}
 			},
-			"flood":    func(*rapid.T) { f.flood() },
+			"flood": func(*rapid.T) { f.flood() },
+			"release": func(t *rapid.T) {
+				f.release(rapid.SampledFrom([]galenalatch.CellID{cellA, cellB}).Draw(t, "cell"))
+			},
 			"restart":  func(t *rapid.T) { f.restartNode(f.node(t)) },
 			"platform": func(t *rapid.T) { n := f.node(t); n.noPlatform = !n.noPlatform },
 			"cold":     f.coldRestart,
--- a/internal/decide/cell/world_test.go
+++ b/internal/decide/cell/world_test.go
@@ -258,7 +258,7 @@
 func (w *world) leaseStep() {
 	for _, id := range sortedCells(w.rows) {
 		r := w.rows[id]
-		if n := r.holder; n.cells[id] != nil && n.cells[id].epoch == r.epoch && n.reachesPlatform() {
+		if n := r.holder; !r.released && n.cells[id] != nil && n.cells[id].epoch == r.epoch && n.reachesPlatform() {
 			if h := n.cells[id]; w.now.Sub(r.renewed) >= renewEvery {
 				r.renewed = w.now
 				h.expires = w.now.Add(leaseTime)
@@ -271,7 +271,7 @@
 			continue
 		}
 		for _, n := range w.nodes {
-			if n.reachesPlatform() && (n != r.holder || n.cells[id] == nil) {
+			if n.reachesPlatform() && (n != r.holder || n.cells[id] == nil || r.released) {
 				w.hold(n, id)
 				break
 			}
