Let the successor of a released cell wait for a whole lease

Cause: a lease is released after the last grant was sent, but an entry that the successor cannot reach may use that grant until the lease would have expired. A successor that waits 2 s could grant the same place of a cold server again. Change: with Released set, missing reports are awaited for 4 s. Normal handovers are not slower, since all entries report at once.

--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -30,6 +30,9 @@
 	// may still act. It must also be set when that holds for an earlier
 	// predecessor within ReserveFor.
 	Unconfirmed bool
+	// Released says that the previous holder released the lease. Entries may
+	// then still use its last grants until the lease would have expired.
+	Released bool
 	// Start is when the router took over the cell.
 	Start time.Time
 	// Servers tunes the table of backend servers.
@@ -47,6 +50,9 @@
 	// ReportWait is how long a new holder waits for reports. The default is
 	// 2 s.
 	ReportWait time.Duration
+	// ReleaseWait replaces ReportWait when Released is set: the duration of
+	// a lease. The default is 4 s.
+	ReleaseWait time.Duration
 	// ConfirmWait is how long a grant may stay unconfirmed before it is sent
 	// again. The default is 2 s.
 	ConfirmWait time.Duration
@@ -76,6 +82,10 @@
 	c.SummaryAge = cmp.Or(c.SummaryAge, c.SummaryRefresh*5/2)
 	c.LoanTerm = cmp.Or(c.LoanTerm, time.Second)
 	c.ReportWait = cmp.Or(c.ReportWait, 2*time.Second)
+	c.ReleaseWait = cmp.Or(c.ReleaseWait, 4*time.Second)
+	if c.Released {
+		c.ReportWait = max(c.ReportWait, c.ReleaseWait)
+	}
 	c.ConfirmWait = cmp.Or(c.ConfirmWait, 2*time.Second)
 	c.ProgressWait = cmp.Or(c.ProgressWait, 3*time.Second)
 	c.RouterGone = cmp.Or(c.RouterGone, 10*time.Second)
--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -102,6 +102,29 @@
 	}
 }
 
+// Guards against a holder that grants while an entry that has not reported may
+// still use a grant of its predecessor, and against one that waits forever.
+func TestWaitsForReports(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		released bool
+		wait     time.Duration
+	}{{"expired", false, 2 * time.Second}, {"released", true, 4 * time.Second}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(Config{ID: cellID, Router: "r", Epoch: 2, Pool: pool, Start: start, Released: tc.released})
+			c.SetLease(start.Add(time.Hour), false)
+			c.SetRouters(start, []galenalatch.RouterID{"x"})
+			c.SetServers(start, []galenalatch.Instance{{ID: "s"}})
+			enqueue(c, start, "1")
+			for _, want := range []int{0, 1} {
+				now := start.Add(tc.wait - time.Duration(1-want))
+				c.SetLoad(now, "s", now, galenalatch.LoadReport{Boot: "b1"}, nil)
+				assert.Equal(t, len(grantsOf(c.Tick(now))), want)
+			}
+		})
+	}
+}
+
 // Guards against a cell that keeps free slots while another cell of the pool
 // has waiting work, and against loans that are counted twice.
 func TestLoanGoesToNeediestCell(t *testing.T) {
--- a/internal/decide/cell/world_test.go
+++ b/internal/decide/cell/world_test.go
@@ -210,12 +210,12 @@
 		r = &row{}
 		w.rows[id] = r
 	}
-	unconfirmed := r.epoch > 0 && !r.released
+	unconfirmed, released := r.epoch > 0 && !r.released, r.released
 	r.unconfirmed = r.unconfirmed || unconfirmed
 	r.epoch++
 	r.holder, r.renewed, r.released = n, w.now, false
 	cfg := w.config
-	cfg.ID, cfg.Router, cfg.Epoch, cfg.Pool, cfg.Start, cfg.Unconfirmed = id, n.id, r.epoch, w.pool, w.now, r.unconfirmed
+	cfg.ID, cfg.Router, cfg.Epoch, cfg.Pool, cfg.Start, cfg.Unconfirmed, cfg.Released = id, n.id, r.epoch, w.pool, w.now, r.unconfirmed, released
 	h := &holding{cell: New(cfg), id: id, epoch: r.epoch, expires: w.now.Add(leaseTime)}
 	n.cells[id] = h
 	h.cell.SetCatalogue(w.now, w.catalogue)
