--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -144,3 +144,89 @@
 	assert.Equal(t, s.Lent, 1)
 	assert.Equal(t, s.Servers[0].Limit, 3)
 }
+
+// Guards against slots that are freed, used or returned on the word of a
+// message that does not prove anything.
+func TestSlotIsFreedOnlyByProof(t *testing.T) {
+	other := galenalatch.CellID{Pool: "m", DataCentre: "p"}
+	for _, tc := range []struct {
+		name    string
+		do      func(*Cell, galenalatch.Grant)
+		granted int
+		running int
+	}{
+		{"withdraw", func(c *Cell, g galenalatch.Grant) {
+			c.Handle(start, "e", galenalatch.Withdraw{Cell: cellID, Request: g.Request})
+		}, 1, 1},
+		{"report without it", func(c *Cell, _ galenalatch.Grant) {
+			c.Handle(start, "e", galenalatch.Report{Cell: cellID, Epoch: 1})
+		}, 1, 1},
+		{"finish of another grant", func(c *Cell, g galenalatch.Grant) {
+			c.Handle(start, "e", galenalatch.Finish{Cell: cellID, Request: g.Request, Serial: g.Serial - 1})
+		}, 1, 1},
+		{"late report after the finish", func(c *Cell, g galenalatch.Grant) {
+			c.Handle(start, "e", galenalatch.Finish{Cell: cellID, Request: g.Request, Serial: g.Serial})
+			c.Handle(start, "e", galenalatch.Report{Cell: cellID, Epoch: 1, Running: []galenalatch.Running{{
+				Request: g.Request, Server: g.Server, Boot: g.Boot, Home: cellID, ServerCell: cellID, Serial: g.Serial,
+			}}})
+		}, 0, 0},
+		{"entry is gone for 9 s", func(c *Cell, _ galenalatch.Grant) {
+			c.RouterDown(start, "e")
+			c.Tick(start.Add(9 * time.Second))
+		}, 1, 1},
+		{"entry is gone for 10 s", func(c *Cell, _ galenalatch.Grant) {
+			c.RouterDown(start, "e")
+			c.Tick(start.Add(10 * time.Second))
+		}, 0, 0},
+		{"entry has restarted", func(c *Cell, _ galenalatch.Grant) {
+			c.RouterUp(start, "e", "first")
+			c.RouterUp(start, "e", "second")
+		}, 0, 0},
+		{"later grant is confirmed", func(c *Cell, g galenalatch.Grant) {
+			c.SetLease(start, false)
+			now := start.Add(3 * time.Second)
+			c.Tick(now)
+			c.SetLoad(now, "s", now, galenalatch.LoadReport{Boot: "b1"}, nil)
+			c.SetLease(now.Add(time.Hour), false)
+			c.Tick(now)
+			c.Handle(now, "e", galenalatch.Progress{Cell: cellID, Used: []galenalatch.Used{{Serial: g.Serial + 1}}})
+		}, 1, 1},
+		{"slot for an earlier holder", func(c *Cell, _ galenalatch.Grant) {
+			enqueue(c, start, "2")
+			c.Handle(start, "x", galenalatch.Lend{From: other, To: cellID, ToEpoch: 0, Slot: "a", TermMillis: 1000})
+			c.Tick(start)
+		}, 2, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t)
+			enqueue(c, start, "1")
+			tc.do(c, grantsOf(c.Tick(start))[0])
+			s := c.Status(start)
+			assert.Equal(t, s.Granted, tc.granted)
+			assert.Equal(t, s.Servers[0].Running, tc.running)
+		})
+	}
+}
+
+// Guards against a new holder that returns a slot on which its predecessor
+// may have started a request that has not been reported yet.
+func TestNewHolderAnswersForLoansLate(t *testing.T) {
+	other := galenalatch.CellID{Pool: "m", DataCentre: "p"}
+	for _, tc := range []struct {
+		after time.Duration
+		want  int
+	}{{4 * time.Second, 0}, {5 * time.Second, 1}} {
+		c := newCell(t)
+		c.Tick(start)
+		c.SetPeers(start, []galenalatch.Holder{{Cell: other, Router: "x", Epoch: 1}})
+		now := start.Add(tc.after)
+		c.Handle(now, "x", galenalatch.Lend{From: other, Epoch: 1, To: cellID, ToEpoch: 1, Slot: "a", Ask: true})
+		n := 0
+		for _, o := range c.Tick(now) {
+			if _, ok := o.Message.(galenalatch.GiveBack); ok {
+				n++
+			}
+		}
+		assert.Equal(t, n, tc.want)
+	}
+}
