--- a/internal/decide/cell/world_test.go
+++ b/internal/decide/cell/world_test.go
@@ -210,12 +210,12 @@
 		r = &row{}
 		w.rows[id] = r
 	}
-	unconfirmed := r.epoch > 0 && !r.released
+	unconfirmed, released := r.epoch > 0 && !r.released, r.released
 	r.unconfirmed = r.unconfirmed || unconfirmed
 	r.epoch++
 	r.holder, r.renewed, r.released = n, w.now, false
 	cfg := w.config
-	cfg.ID, cfg.Router, cfg.Epoch, cfg.Pool, cfg.Start, cfg.Unconfirmed = id, n.id, r.epoch, w.pool, w.now, r.unconfirmed
+	cfg.ID, cfg.Router, cfg.Epoch, cfg.Pool, cfg.Start, cfg.Unconfirmed, cfg.Released = id, n.id, r.epoch, w.pool, w.now, r.unconfirmed, released
 	h := &holding{cell: New(cfg), id: id, epoch: r.epoch, expires: w.now.Add(leaseTime)}
 	n.cells[id] = h
 	h.cell.SetCatalogue(w.now, w.catalogue)
@@ -258,7 +258,7 @@
 func (w *world) leaseStep() {
 	for _, id := range sortedCells(w.rows) {
 		r := w.rows[id]
-		if n := r.holder; n.cells[id] != nil && n.cells[id].epoch == r.epoch && n.reachesPlatform() {
+		if n := r.holder; !r.released && n.cells[id] != nil && n.cells[id].epoch == r.epoch && n.reachesPlatform() {
 			if h := n.cells[id]; w.now.Sub(r.renewed) >= renewEvery {
 				r.renewed = w.now
 				h.expires = w.now.Add(leaseTime)
@@ -271,7 +271,7 @@
 			continue
 		}
 		for _, n := range w.nodes {
-			if n.reachesPlatform() && (n != r.holder || n.cells[id] == nil) {
+			if n.reachesPlatform() && (n != r.holder || n.cells[id] == nil || r.released) {
 				w.hold(n, id)
 				break
 			}
