Shorten progress messages and tell a cell of a released lease

Cause: progress named each request by its id of 36 bytes; a new holder did not know that its predecessor released the lease; a router that comes first for several cells holds them all.

--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -28,6 +28,8 @@
 	Lapsed bool
 	// Unconfirmed says that the holder before may still act.
 	Unconfirmed bool
+	// Released says that the holder before released the lease.
+	Released bool
 }
 
 // Options are the parts that a host works with.
--- a/internal/process/dispatch/refresh.go
+++ b/internal/process/dispatch/refresh.go
@@ -43,6 +43,7 @@
 		Epoch:       l.Epoch,
 		Pool:        pool,
 		Unconfirmed: l.Unconfirmed,
+		Released:    l.Released,
 		Start:       now,
 	})}
 	h.cells[id] = c
--- a/internal/process/entry/report.go
+++ b/internal/process/entry/report.go
@@ -129,7 +129,7 @@
 	used := make(map[galenalatch.CellID][]galenalatch.Used)
 	for _, r := range e.running {
 		c := r.grant.Cell
-		used[c] = append(used[c], galenalatch.Used{Request: r.request.ID, Serial: r.grant.Serial, Units: r.units.Load()})
+		used[c] = append(used[c], galenalatch.Used{Serial: r.grant.Serial, Units: r.units.Load()})
 	}
 	for _, p := range e.pending {
 		if p.holder.Router != "" {
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -192,7 +192,7 @@
 	held := make(map[galenalatch.CellID]dispatch.LeaseState)
 	for c, s := range r.leases.States() {
 		if s.Held || s.Lapsed {
-			held[c] = dispatch.LeaseState{Epoch: s.Epoch, Expires: s.Expires, Lapsed: s.Lapsed, Unconfirmed: s.Unconfirmed}
+			held[c] = dispatch.LeaseState{Epoch: s.Epoch, Expires: s.Expires, Lapsed: s.Lapsed, Unconfirmed: s.Unconfirmed, Released: s.Epoch > 1 && !s.Unconfirmed}
 		}
 	}
 	return held
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,19 +133,25 @@
 	}
 }
 
-// ranks returns the router's place among the candidates of each cell.
+// ranks returns the router's place among the candidates of each cell. Each
+// cell that it holds already moves it back by one place, so that the cells
+// spread over the routers.
 func (r *Router) ranks() map[galenalatch.CellID]int {
 	d := r.fleet.Directory()
+	held := r.heldLeases()
 	ranks := make(map[galenalatch.CellID]int)
 	for _, c := range d.AllCells() {
 		ranks[c] = -1
 		if r.draining.Load() {
 			continue
 		}
-		for i, id := range d.Candidates(c) {
-			if id == r.settings.ID {
-				ranks[c] = i
-			}
+		others := len(held)
+		if _, own := held[c]; own {
+			others--
+		}
+		ranks[c] = slices.Index(d.Candidates(c), r.settings.ID)
+		if ranks[c] >= 0 {
+			ranks[c] += others
 		}
 	}
 	return ranks
