Spread the first candidates of cells over the routers

Cause: all cells are taken in the same moment at the start of a fleet, so moving a router back for each held cell came too late: 3 of 8 routers held no cell. TestFirstCandidatesSpread fails with the former order.

--- a/internal/decide/directory/directory.go
+++ b/internal/decide/directory/directory.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/rendezvous"
@@ -19,6 +20,10 @@
 	cells     map[galenalatch.PoolName][]galenalatch.CellID
 	servers   map[galenalatch.CellID][]galenalatch.Instance
 	out       map[galenalatch.DataCentre]bool
+
+	// candidates are computed when they are first needed.
+	once       sync.Once
+	candidates map[galenalatch.CellID][]galenalatch.RouterID
 }
 
 // New derives the directory. Servers of unknown pools are left out.
@@ -136,9 +141,40 @@
 }
 
 // Candidates returns the routers in the order in which they try to take the
-// lease of a cell. Routers in the cell's data centre come first; leaving
-// routers and routers in data centres that are out of service come last.
+// lease of a cell. The first one is chosen so that the cells spread evenly.
+// Routers in the cell's data centre come before others; leaving routers and
+// routers in data centres that are out of service come last.
 func (d *Directory) Candidates(c galenalatch.CellID) []galenalatch.RouterID {
+	d.once.Do(d.assign)
+	return d.candidates[c]
+}
+
+// assign computes the candidates of all cells. For each cell in turn, the
+// router of the best group that is first for the fewest cells so far becomes
+// the first candidate.
+func (d *Directory) assign() {
+	d.candidates = make(map[galenalatch.CellID][]galenalatch.RouterID)
+	first := make(map[galenalatch.RouterID]int)
+	for _, c := range d.AllCells() {
+		groups := d.groups(c)
+		for _, g := range groups {
+			if len(g) == 0 {
+				continue
+			}
+			least := slices.MinFunc(g, func(a, b galenalatch.RouterID) int { return first[a] - first[b] })
+			first[least]++
+			i := slices.Index(g, least)
+			copy(g[1:i+1], g[:i])
+			g[0] = least
+			break
+		}
+		d.candidates[c] = slices.Concat(groups...)
+	}
+}
+
+// groups returns the routers of the cell's data centre, the other routers,
+// and those that should not take the lease, each in order of preference.
+func (d *Directory) groups(c galenalatch.CellID) [][]galenalatch.RouterID {
 	byName := make(map[string]galenalatch.Instance, len(d.routers))
 	names := make([]string, 0, len(d.routers))
 	for _, r := range d.routers {
@@ -157,5 +193,5 @@
 		}
 		groups[g] = append(groups[g], galenalatch.RouterID(n))
 	}
-	return slices.Concat(groups...)
+	return groups
 }
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -59,3 +59,17 @@
 	}
 	assert.Equal(t, string(New(c, list).Candidates(cell)[0][:2]), "r1")
 }
+
+// Guards against routers that hold several cells while others hold none.
+func TestFirstCandidatesSpread(t *testing.T) {
+	c, list := fleet(3)
+	d := New(c, list)
+	first := map[galenalatch.RouterID]int{}
+	for _, id := range d.AllCells() {
+		first[d.Candidates(id)[0]]++
+	}
+	assert.Equal(t, len(first), 12)
+	for r, n := range first {
+		assert.Equal(t, n, 1, r)
+	}
+}
