Bound the whole wait of a request and test the entry

Cause: the limit of the wait for a grant began anew with each grant that was returned unused, so a request could wait 20 times as long. The entry had no tests. Change: one deadline for all waits of a request; table tests with a fake dispatcher for stale grants, expired leases, out of service, failing servers, claims and repeated grants.

--- /dev/null
+++ b/internal/process/entry/entry_test.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/directory"
+)
+
+var cell = galenalatch.CellID{Pool: "p", DataCentre: "a"}
+
+// bench is an entry with fakes on all sides. The fake dispatcher answers
+// lease questions and gives each waiting request a grant.
+type bench struct {
+	t     *testing.T
+	entry *Entry
+	// run stands for the backend server.
+	run func(o galenalatch.Order, s galenalatch.Sink) error
+	// grant changes the grants before they are sent; nil sends none.
+	grant  func(*galenalatch.Grant)
+	remain int64
+
+	mu       sync.Mutex
+	epoch    galenalatch.Epoch
+	serial   uint64
+	out      bool
+	stale    bool
+	finishes []galenalatch.Finish
+	runs     int
+	claims   fakeClaims
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, epoch: 1, remain: 4000, grant: func(*galenalatch.Grant) {}}
+	b.run = func(o galenalatch.Order, s galenalatch.Sink) error {
+		if err := s.Head(http.StatusOK, http.Header{}); err != nil {
+			return err
+		}
+		return s.Piece([]byte("answer"))
+	}
+	b.entry = New(Options{
+		Self:      "r",
+		Directory: b.directory,
+		Holder: func(c galenalatch.CellID) (galenalatch.Holder, bool) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return galenalatch.Holder{Cell: c, Router: "d", Epoch: b.epoch}, true
+		},
+		Reachable: func(galenalatch.RouterID) bool { return true },
+		Fresh: func() error {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if b.stale {
+				return galenalatch.KindCatalogueStale.Errorf("stale")
+			}
+			return nil
+		},
+		Send:    b.send,
+		Runner:  func(galenalatch.PoolKind) galenalatch.Runner { return b },
+		Claims:  &b.claims,
+		MaxWait: map[galenalatch.Class]time.Duration{galenalatch.Interactive: 5 * time.Second},
+	})
+	return b
+}
+
+func (b *bench) directory() *directory.Directory {
+	c := galenalatch.Catalogue{Pools: []galenalatch.Pool{{Name: "p", Kind: galenalatch.PlainPool, CellsPerDataCentre: 1, MaxCost: 1000}}}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return directory.New(c.WithServer("s", b.out), []galenalatch.Instance{{ID: "s", Role: galenalatch.ServerRole, DataCentre: "a", Pool: "p"}})
+}
+
+// send is the network and the dispatcher behind it.
+func (b *bench) send(_ galenalatch.RouterID, m galenalatch.Message) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch m := m.(type) {
+	case galenalatch.LeaseAsk:
+		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.epoch, Echo: m.Stamp, RemainingMillis: b.remain}
+		time.AfterFunc(time.Millisecond, func() { b.entry.Handle("d", s) })
+	case galenalatch.Enqueue:
+		if b.grant == nil {
+			break
+		}
+		b.serial++
+		g := galenalatch.Grant{Cell: cell, Epoch: 1, Request: m.Waiting.Request, Serial: b.serial, Server: "s",
+			DataCentre: "a", Boot: "b1", ServerCell: cell, ServerEpoch: 1}
+		b.grant(&g)
+		time.AfterFunc(2*time.Millisecond, func() { b.entry.Handle("d", g) })
+	case galenalatch.Finish:
+		b.finishes = append(b.finishes, m)
+	}
+	return true
+}
+
+// Run implements galenalatch.Runner.
+func (b *bench) Run(_ context.Context, o galenalatch.Order, s galenalatch.Sink) (galenalatch.Usage, error) {
+	if err := o.BeforeSend(); err != nil {
+		return galenalatch.Usage{}, err
+	}
+	b.mu.Lock()
+	b.runs++
+	b.mu.Unlock()
+	return galenalatch.Usage{Millis: 7}, b.run(o, s)
+}
+
+// submit runs one request with the entry's loop beside it.
+func (b *bench) submit(r galenalatch.Request) error {
+	ctx, cancel := context.WithCancel(b.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = b.entry.Run(ctx)
+	}()
+	r.ID, r.Workspace, r.Pool, r.Class = "q", "w", "p", galenalatch.Interactive
+	err := b.entry.Submit(ctx, r, sink{})
+	cancel()
+	<-done
+	synctest.Wait()
+	return err
+}
+
+type sink struct{}
+
+func (sink) Head(int, http.Header) error { return nil }
+func (sink) Piece([]byte) error          { return nil }
+func (sink) Progress(galenalatch.Usage)  {}
+
+// fakeClaims gives one claim and counts what becomes of it.
+type fakeClaims struct {
+	answer             *Answer
+	err                error
+	finished, released int
+}
+
+func (c *fakeClaims) Claim(context.Context, galenalatch.Request, bool) (Claim, *Answer, error) {
+	if c.answer != nil || c.err != nil {
+		return nil, c.answer, c.err
+	}
+	return c, nil, nil
+}
+
+func (c *fakeClaims) Finish(context.Context, Answer) error {
+	c.finished++
+	return nil
+}
+
+func (c *fakeClaims) Release(context.Context) error {
+	c.released++
+	return nil
+}
+
+var broke = galenalatch.KindServerBroke.Errorf("connection reset")
+
+// Guards against grants that are used although they are not valid any more,
+// against requests that run too often, and against slots that do not return.
+func TestSubmit(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		request    galenalatch.Request
+		change     func(*bench)
+		kind       galenalatch.Kind
+		outcome    galenalatch.Outcome
+		runs       int
+		finished   int
+		released   int
+		finishes   int
+		failedLast bool
+	}{
+		{name: "answered", runs: 1, finishes: 1},
+		{name: "grant of an older epoch", change: func(b *bench) { b.epoch = 2 }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5},
+		{name: "lease has run out", change: func(b *bench) { b.remain = 0 }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5},
+		{name: "no grant", change: func(b *bench) { b.grant = nil }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun},
+		{name: "catalogue is stale", change: func(b *bench) { b.stale = true }, kind: galenalatch.KindCatalogueStale, outcome: galenalatch.NotRun},
+		{name: "server was taken out", change: func(b *bench) { b.out = true }, kind: galenalatch.KindOutOfService, outcome: galenalatch.NotRun, finishes: maxReturned},
+		{
+			name: "grant of a lent slot without a lease of the lender",
+			change: func(b *bench) {
+				b.grant = func(g *galenalatch.Grant) { g.ServerEpoch = 0 }
+			},
+			kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5,
+		},
+		{
+			name:    "repeatable request on a failing server",
+			request: galenalatch.Request{Repeatable: true},
+			change: func(b *bench) {
+				b.run = func(galenalatch.Order, galenalatch.Sink) error { return broke }
+			},
+			kind: galenalatch.KindServerBroke, outcome: galenalatch.OutcomeUnknown, runs: maxSent, finishes: maxSent, failedLast: true,
+		},
+		{
+			name: "repeatable request whose answer has begun",
+			change: func(b *bench) {
+				b.run = func(_ galenalatch.Order, s galenalatch.Sink) error {
+					_ = s.Head(http.StatusOK, nil)
+					return galenalatch.KindStreamBroke.Errorf("cut")
+				}
+			},
+			request: galenalatch.Request{Repeatable: true},
+			kind:    galenalatch.KindStreamBroke, outcome: galenalatch.Broken, runs: 1, finishes: 1, failedLast: true,
+		},
+		{name: "keyed call", request: galenalatch.Request{Key: "k"}, runs: 1, finished: 1, finishes: 1},
+		{
+			name:    "keyed call on a failing server",
+			request: galenalatch.Request{Key: "k"},
+			change: func(b *bench) {
+				b.run = func(galenalatch.Order, galenalatch.Sink) error { return broke }
+			},
+			kind: galenalatch.KindServerBroke, outcome: galenalatch.OutcomeUnknown, runs: 1, finishes: 1, failedLast: true,
+		},
+		{
+			name:    "keyed call that never reached a server",
+			request: galenalatch.Request{Key: "k"},
+			change: func(b *bench) {
+				b.run = func(galenalatch.Order, galenalatch.Sink) error {
+					return galenalatch.KindServerUnreached.Errorf("refused")
+				}
+			},
+			kind: galenalatch.KindServerUnreached, outcome: galenalatch.NotRun, runs: maxReturned, released: 1, finishes: maxReturned, failedLast: true,
+		},
+		{
+			name:    "stored answer",
+			request: galenalatch.Request{Key: "k"},
+			change:  func(b *bench) { b.claims.answer = &Answer{Status: 200} }, finishes: 1,
+		},
+		{
+			name:    "claims are down",
+			request: galenalatch.Request{Key: "k"},
+			change:  func(b *bench) { b.claims.err = galenalatch.KindPlatformDown.Errorf("down") },
+			kind:    galenalatch.KindPlatformDown, outcome: galenalatch.NotRun, finishes: 1,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				if tc.change != nil {
+					tc.change(b)
+				}
+				err := b.submit(tc.request)
+				if tc.kind == "" {
+					assert.NilError(t, err)
+				} else {
+					assert.Equal(t, galenalatch.KindOf(err), tc.kind)
+					assert.Equal(t, galenalatch.OutcomeOf(err), tc.outcome)
+				}
+				assert.Equal(t, b.runs, tc.runs)
+				assert.Equal(t, b.claims.finished, tc.finished)
+				assert.Equal(t, b.claims.released, tc.released)
+				assert.Equal(t, len(b.finishes), tc.finishes)
+				if n := len(b.finishes); n > 0 {
+					last := b.finishes[n-1]
+					assert.Equal(t, last.Failed, tc.failedLast)
+					assert.Equal(t, last.Completed, tc.runs > 0 && tc.kind == "")
+				}
+				assert.Equal(t, b.entry.Active(), 0)
+			})
+		})
+	}
+}
+
+// Guards against a delayed copy of a grant that starts a request again after
+// its slot was freed, and against a question that starts a request.
+func TestGrantsAreUsedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		var first galenalatch.Grant
+		b.grant = func(g *galenalatch.Grant) { first = *g }
+		assert.NilError(t, b.submit(galenalatch.Request{}))
+		first.Ask = true
+		b.entry.Handle("d", first)
+		first.Ask = false
+		b.entry.Handle("d", first)
+		assert.Equal(t, b.runs, 1)
+		assert.Equal(t, len(b.finishes), 3)
+		for _, f := range b.finishes {
+			assert.Equal(t, f.Outcome, galenalatch.Answered)
+			assert.Equal(t, f.Units, int64(7))
+		}
+	})
+}
--- a/internal/process/entry/task.go
+++ b/internal/process/entry/task.go
@@ -15,6 +15,8 @@
 	pool    galenalatch.Pool
 	meter   *meter
 	claim   Claim
+	// deadline ends the waiting, over all grants that are returned unused.
+	deadline time.Time
 	// waited says that the task has waited for another run of the request.
 	waited bool
 	// sent counts attempts that may have reached a server.
@@ -23,6 +25,7 @@
 
 // run returns nil when the whole answer went into the sink.
 func (t *task) run(ctx context.Context) error {
+	t.deadline = time.Now().Add(t.entry.options.MaxWait[t.request.Class])
 	for returned := 0; ; {
 		g, err := t.await(ctx)
 		if err != nil {
@@ -73,7 +76,7 @@
 	e := t.entry
 	began := time.Now()
 	p := e.queue(t.request, t.pool)
-	limit := time.NewTimer(e.options.MaxWait[t.request.Class])
+	limit := time.NewTimer(time.Until(t.deadline))
 	defer limit.Stop()
 	select {
 	case g := <-p.granted:
