Stop lending to a cell that returns slots unused

Its summary is out of date, and lending on its word again keeps the slot idle for another round trip.

--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -221,6 +221,11 @@
 	}
 	delete(c.loans, m.Slot)
 	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: !m.Used})
+	if p := c.peers[m.From]; p != nil && !m.Used {
+		// Its last summary is out of date. Lending on its word again would
+		// keep the slot idle for another round trip.
+		p.waiting = 0
+	}
 }
 
 // lent takes in a slot of another cell, or a question about one.
