Tell confirmed from assumed returns of lent slots

Cause: each slot that was returned unused blocked its server until the next load report, up to 1.1 s, because the lender took the return for a guess. It is one only when the borrower lost the entry or is a later holder.

--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -220,7 +220,7 @@
 		return
 	}
 	delete(c.loans, m.Slot)
-	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: !m.Used})
+	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: m.Assumed})
 	if p := c.peers[m.From]; p != nil && !m.Used {
 		// Its last summary is out of date. Lending on its word again would
 		// keep the slot idle for another round trip.
@@ -250,7 +250,8 @@
 	}
 	c.borrowed[k] = o
 	if m.Ask || m.ToEpoch != c.cfg.Epoch || m.Epoch < p.epoch {
-		c.giveBack(now, o, ending{})
+		// An earlier holder of this cell may have used the slot.
+		c.giveBack(now, o, ending{assumed: true})
 		return
 	}
 	c.offers = append(c.offers, o)
@@ -298,7 +299,7 @@
 	o.become(returned, now)
 	o.answer = galenalatch.GiveBack{
 		From: c.cfg.ID, To: o.key.lender, Slot: o.key.slot,
-		Used: e.ran, Failed: e.failed, Completed: e.completed,
+		Used: e.ran, Failed: e.failed, Completed: e.completed, Assumed: e.assumed,
 	}
 	if p := c.peers[o.key.lender]; p != nil {
 		c.send(p.router, o.answer)
--- a/message.go
+++ b/message.go
@@ -219,6 +219,8 @@
 	Used      bool   `cbor:"used"`
 	Failed    bool   `cbor:"failed"`
 	Completed bool   `cbor:"completed"`
+	// Assumed says that the borrower has no entry's word for the end.
+	Assumed bool `cbor:"assumed,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
