backend: test streams without an end, lost events and stuck writes

Mutations on a scratch copy showed these gaps: a stream that ends in order without [DONE], left out events, a connection released before its body ended, a kept connection with another boot identity, and a sink error that does not close the connection all went unnoticed before.

--- a/internal/backend/connection/pool_test.go
+++ b/internal/backend/connection/pool_test.go
@@ -165,6 +165,11 @@
 		p := New(WithDial(n.Dial))
 		o := order("a:1", s.Boot(), "1", http.MethodPost, "x")
 		assert.NilError(t, send(t.Context(), p, order("a:1", s.Boot(), "0", http.MethodGet, "")))
+		// The kept connection leads to a newer start than the order names.
+		err = send(t.Context(), p, order("a:1", "17", "2", http.MethodGet, ""))
+		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindBootMismatch)
+		assert.Equal(t, s.Stats().Received["2"], 0)
+		assert.NilError(t, send(t.Context(), p, order("a:1", s.Boot(), "0", http.MethodGet, "")))
 		s.TurnCold()
 		synctest.Wait()
 		err = send(t.Context(), p, o)
@@ -322,10 +327,17 @@
 }
 
 // failingConn fails writes that contain a request after passing on some
-// bytes of them.
+// bytes of them. When stuck is set, it calls it then and fails when closed.
 type failingConn struct {
 	net.Conn
-	pass int
+	pass   int
+	stuck  func()
+	closed chan struct{}
+}
+
+func (c failingConn) Close() error {
+	close(c.closed)
+	return c.Conn.Close()
 }
 
 func (c failingConn) Write(b []byte) (int, error) {
@@ -333,6 +345,10 @@
 		return c.Conn.Write(b)
 	}
 	n, err := c.Conn.Write(b[:c.pass])
+	if c.stuck != nil {
+		c.stuck()
+		<-c.closed
+	}
 	return n, errors.Join(err, errors.New("network failed"))
 }
 
@@ -346,7 +362,7 @@
 		address := start(t, s)
 		p := New(WithDial(func(ctx context.Context, nw, a string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, nw, a)
-			return failingConn{c, pass}, err
+			return failingConn{Conn: c, pass: pass, closed: make(chan struct{})}, err
 		}))
 		defer p.Close()
 		err := send(t.Context(), p, order(address, s.Boot(), "1", http.MethodPost, "x"))
@@ -354,3 +370,21 @@
 		assert.Equal(t, s.Stats().Received["1"], 0)
 	}
 }
+
+// TestStuckWrite guards against notRun for a write that was stuck when the
+// caller went away, and against waiting for it.
+func TestStuckWrite(t *testing.T) {
+	for pass, outcome := range map[int]galenalatch.Outcome{0: galenalatch.NotRun, 40: galenalatch.Cancelled} {
+		s := standin.New(standin.Settings{})
+		address := start(t, s)
+		ctx, cancel := context.WithCancel(t.Context())
+		p := New(WithDial(func(ctx context.Context, nw, a string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, nw, a)
+			return failingConn{c, pass, cancel, make(chan struct{})}, err
+		}))
+		defer p.Close()
+		err := send(ctx, p, order(address, s.Boot(), "1", http.MethodPost, "x"))
+		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
+		assert.Equal(t, galenalatch.OutcomeOf(err), outcome)
+	}
+}
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -187,6 +188,48 @@
 	assert.Equal(t, s.Stats().Resumes, 3)
 }
 
+// TestBadStreams guards against taking a stream for whole that ends in order
+// but without [DONE] or lacks events, and against using a connection again
+// whose body has not ended.
+func TestBadStreams(t *testing.T) {
+	const piece = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	var text string
+	s := standin.New(standin.Settings{ResumeWindow: time.Minute})
+	mux := http.NewServeMux()
+	mux.Handle("/", s)
+	mux.HandleFunc("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte(text))
+		_ = http.NewResponseController(w).Flush()
+		if strings.HasSuffix(text, "[DONE]\n\n") {
+			<-r.Context().Done()
+		}
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	c := newClient(t)
+	run := func(address string) (*recorder, error) {
+		var r recorder
+		_, err := c.Run(t.Context(), order(address, s.Boot(), "1", "a", 9, true), &r)
+		return &r, err
+	}
+	text = piece
+	r, err := run(server.Listener.Addr().String())
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+	assert.Equal(t, r.pieces, 1)
+	text = piece + "data: [DONE]\n\n"
+	for range 2 {
+		r, err = run(server.Listener.Addr().String())
+		assert.NilError(t, err)
+		assert.Equal(t, r.text.String(), "a")
+	}
+
+	s.SetFailures(process.Failures{BreakAfter: 2, BreakTimes: 1, ResumeOverlap: -1})
+	r, err = run(start(t, s))
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+	assert.Equal(t, r.text.String(), standin.Answer("a", 2))
+}
+
 // TestCancel guards against an engine that generates for nobody, whether the
 // caller goes away by its context or by an error of the sink.
 func TestCancel(t *testing.T) {
@@ -195,6 +238,7 @@
 		address := start(t, s)
 		c := newClient(t)
 		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
 		var r recorder
 		r.onPiece = func() error {
 			if !byContext {
@@ -204,7 +248,6 @@
 			return nil
 		}
 		u, err := c.Run(ctx, order(address, s.Boot(), "1", "a", 1_000_000, true), &r)
-		cancel()
 		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
 		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Cancelled)
 		assert.Check(t, u.OutputTokens >= 1)
