backend/connection: wait until a cancelled request has ended on the server

A run that was cancelled returned as soon as its connection was closed here. The slot was then given to the next request while the engine still generated: 29 to 181 overruns of a cold engine in 200 cancels with kept connections.

The stand-ins end a run before they close its connection.

--- a/internal/backend/connection/connection.go
+++ b/internal/backend/connection/connection.go
@@ -34,14 +34,17 @@
 // Release keeps the connection for another request. The body of the answer
 // must have been read to its end and closed.
 func (c *Connection) Release() {
+	c.conn.disarm()
 	c.pool.keep(c)
 }
 
-// Close closes the connection. An engine that still generates then cancels.
-// The transport ends with its only connection.
+// Close closes the connection. When a request is in flight, the server
+// cancels it, and Close waits a little for the server to do so. The transport
+// ends with its only connection.
 func (c *Connection) Close() {
 	// Nobody waits for the result of closing a connection.
 	_ = c.conn.Close()
+	c.conn.linger()
 }
 
 // onceBody is a request body that can't be read again: it hides the methods
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -331,3 +331,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.status, http.StatusBadRequest)
 }
+
+// TestCancelFreesSlot guards against a slot that is given to another request
+// before the engine has noticed the cancel, which overruns a cold engine.
+func TestCancelFreesSlot(t *testing.T) {
+	s := standin.New(standin.Settings{
+		Settings: process.Settings{ColdLimit: 1, ColdRequests: 1000},
+		Slots:    4, TokenTime: 100 * time.Microsecond,
+	})
+	address := start(t, s)
+	// The next request does not wait for a new connection.
+	const cancels = 200
+	p := connection.New(connection.WithIdle(time.Minute, cancels, cancels))
+	defer p.Close()
+	var kept []*connection.Connection
+	for range cancels {
+		k, err := p.Get(t.Context(), address, s.Boot())
+		assert.NilError(t, err)
+		kept = append(kept, k)
+	}
+	for _, k := range kept {
+		k.Release()
+	}
+	c := New(p)
+	for i := range cancels {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := recorder{onPiece: func() error { cancel(); return nil }}
+		_, err := c.Run(ctx, order(address, s.Boot(), fmt.Sprint(i), "a", 100_000, true), &r)
+		cancel()
+		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Cancelled)
+	}
+	assert.Equal(t, s.Stats().Overruns, 0)
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -132,6 +132,7 @@
 		defer e.keep(s)
 	}
 	if !e.admit(n) {
+		n.End()
 		process.Abort(w)
 		return
 	}
@@ -165,6 +166,7 @@
 		prompt = 0
 	}
 	if e.Wait(n.Context(), e.settings.FirstToken+prompt) != nil {
+		n.End()
 		process.Abort(w)
 		return
 	}
@@ -174,6 +176,7 @@
 	}
 	for i := 1; i < a.request.MaxTokens; i++ {
 		if e.Wait(n.Context(), e.settings.TokenTime) != nil {
+			n.End()
 			process.Abort(w)
 			return
 		}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -90,11 +90,13 @@
 	budget := n.BreakBytes
 	for i := first + 1; i <= a.events()+1; i++ {
 		if i > first+1 && i <= a.request.MaxTokens && e.Wait(n.Context(), e.settings.TokenTime) != nil {
+			n.End()
 			process.Abort(w)
 			return
 		}
 		text, err := frame(a, i)
 		if err != nil {
+			n.End()
 			process.Abort(w)
 			return
 		}
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -98,6 +98,7 @@
 		case e.slots <- struct{}{}:
 			defer func() { <-e.slots }()
 		case <-n.Context().Done():
+			n.End()
 			process.Abort(w)
 			return
 		}
@@ -108,6 +109,7 @@
 		work = e.settings.ReadTime
 	}
 	if e.Wait(n.Context(), work) != nil {
+		n.End()
 		process.Abort(w)
 		return
 	}
