Let routers use open listeners and sum up a load run by workspace

A process that embeds routers needs ports that the kernel chose; a port that is closed and opened again can be taken in between. The load results now hold refusals and the wait with earlier tries, and a table by workspace.

--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -101,7 +101,9 @@
 		Outcome: e.outcome,
 		Wrong:   wrong || e.wrong,
 		Tries:   e.tries,
+		Refused: e.refused,
 		First:   e.first,
+		Wait:    e.wait,
 		Total:   e.total,
 	})
 }
@@ -120,9 +122,14 @@
 	defer cancel()
 	began := time.Now()
 	var e end
+	refused := 0
 	for tries := 1; ; tries++ {
+		before := time.Since(began)
 		e = w.try(ctx, q)
-		e.tries = tries
+		e.tries, e.wait = tries, before+e.first
+		if e.outcome == notRun {
+			refused++
+		}
 		if e.outcome == notRun && e.request != "" {
 			g.audit.NotRun(e.request)
 		}
@@ -134,7 +141,7 @@
 		case <-time.After(min(e.retryAfter, time.Second)):
 		}
 	}
-	e.total = time.Since(began)
+	e.total, e.refused = time.Since(began), refused
 	w.add(e, false)
 	return e
 }
--- a/internal/load/generator/try.go
+++ b/internal/load/generator/try.go
@@ -33,7 +33,9 @@
 	body       string
 	retryAfter time.Duration
 	tries      int
+	refused    int
 	first      time.Duration
+	wait       time.Duration
 	total      time.Duration
 }
 
--- a/internal/load/result/result.go
+++ b/internal/load/result/result.go
@@ -31,14 +31,28 @@
 	// Wrong is set when the answer was not the whole answer to this call.
 	Wrong bool
 	Tries int
-	First time.Duration
+	// Refused is the number of tries that were not run.
+	Refused int
+	First   time.Duration
+	// Wait is the time from the call to the first piece of its answer,
+	// with the tries before.
+	Wait time.Duration
 	Total time.Duration
 }
 
 type line struct {
-	calls, answered, wrong, retries int
-	others                          map[string]int
-	first, total                    *hdrhistogram.Histogram
+	calls, answered, wrong, retries, refused int
+	others                                   map[string]int
+	first, wait, total                       *hdrhistogram.Histogram
+}
+
+func newLine() *line {
+	return &line{
+		others: make(map[string]int),
+		first:  hdrhistogram.New(1, largest.Microseconds(), 3),
+		wait:   hdrhistogram.New(1, largest.Microseconds(), 3),
+		total:  hdrhistogram.New(1, largest.Microseconds(), 3),
+	}
 }
 
 // Results is safe for concurrent use.
@@ -58,15 +72,12 @@
 	defer r.mu.Unlock()
 	l, ok := r.lines[c.Row]
 	if !ok {
-		l = &line{
-			others: make(map[string]int),
-			first:  hdrhistogram.New(1, largest.Microseconds(), 3),
-			total:  hdrhistogram.New(1, largest.Microseconds(), 3),
-		}
+		l = newLine()
 		r.lines[c.Row] = l
 	}
 	l.calls++
 	l.retries += c.Tries - 1
+	l.refused += c.Refused
 	if c.Wrong {
 		l.wrong++
 	}
@@ -77,6 +88,7 @@
 	l.answered++
 	// The histogram bounds its values, so that no value is an error.
 	_ = l.first.RecordValue(min(c.First, largest).Microseconds())
+	_ = l.wait.RecordValue(min(c.Wait, largest).Microseconds())
 	_ = l.total.RecordValue(min(c.Total, largest).Microseconds())
 }
 
@@ -108,6 +120,37 @@
 	return t.Flush()
 }
 
+// WriteWorkspaces prints a table with one line for each workspace. Calls
+// that were refused are made again, so they count as answered too.
+func (r *Results) WriteWorkspaces(w io.Writer) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sums := make(map[string]*line)
+	for k, l := range r.lines {
+		s, ok := sums[k.Workspace]
+		if !ok {
+			s = newLine()
+			sums[k.Workspace] = s
+		}
+		s.calls += l.calls
+		s.answered += l.answered
+		s.wrong += l.wrong
+		s.refused += l.refused
+		for o, n := range l.others {
+			s.others[o] += n
+		}
+		s.wait.Merge(l.wait)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "WORKSPACE\tCALLS\tANSWERED\tWRONG\tREFUSED\tOTHER\tWAIT P50\tP95\tLONGEST")
+	for _, k := range slices.Sorted(maps.Keys(sums)) {
+		s := sums[k]
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", k, s.calls, s.answered, s.wrong, s.refused,
+			others(s.others), at(s.wait, 50), at(s.wait, 95), at(s.wait, 100))
+	}
+	return t.Flush()
+}
+
 func others(m map[string]int) string {
 	if len(m) == 0 {
 		return "-"
--- a/internal/process/listener/server.go
+++ b/internal/process/listener/server.go
@@ -24,6 +24,7 @@
 type Server struct {
 	headerBytes int
 	muxes       map[string]*http.ServeMux
+	given       map[string]net.Listener
 	servers     []*http.Server
 	listeners   []net.Listener
 }
@@ -31,7 +32,7 @@
 // New returns a server without addresses. Headers of requests are bounded by
 // headerBytes.
 func New(headerBytes int) *Server {
-	return &Server{headerBytes: headerBytes, muxes: make(map[string]*http.ServeMux)}
+	return &Server{headerBytes: headerBytes, muxes: make(map[string]*http.ServeMux), given: make(map[string]net.Listener)}
 }
 
 // Handle registers a handler for a pattern on an address.
@@ -44,10 +45,20 @@
 	m.Handle(pattern, h)
 }
 
+// Use makes Open use l for its address, so that a port chosen by the kernel
+// stays taken between its choice and Open.
+func (s *Server) Use(l net.Listener) {
+	s.given[l.Addr().String()] = l
+}
+
 // Open listens on all addresses.
 func (s *Server) Open() error {
 	for _, a := range slices.Sorted(maps.Keys(s.muxes)) {
-		l, err := net.Listen("tcp", a)
+		l, ok := s.given[a]
+		var err error
+		if !ok {
+			l, err = net.Listen("tcp", a)
+		}
 		if err != nil {
 			s.close()
 			return fmt.Errorf("listen on %s: %w", a, err)
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,8 +55,17 @@
 	ready    atomic.Bool
 }
 
+// Option changes a Router.
+type Option func(*Router)
+
+// WithListener makes the router use l for its address instead of listening
+// on the address itself.
+func WithListener(l net.Listener) Option {
+	return func(r *Router) { r.listener.Use(l) }
+}
+
 // New joins the parts. Nothing runs before Run.
-func New(s settings.Settings, log *events.Log) (*Router, error) {
+func New(s settings.Settings, log *events.Log, options ...Option) (*Router, error) {
 	r := &Router{
 		settings: s,
 		start:    uuid.NewString(),
@@ -63,6 +73,9 @@
 		listener: listener.New(s.Limits.HeaderBytes),
 	}
 	r.platform.log = r.log
+	for _, o := range options {
+		o(r)
+	}
 	for _, step := range []func() error{r.joinPlatform, r.joinPeers, r.joinGossip, r.joinRequests, r.joinListener} {
 		if err := step(); err != nil {
 			return nil, fmt.Errorf("router %s: %w", s.ID, err)
--- a/internal/process/standins/standins.go
+++ b/internal/process/standins/standins.go
@@ -116,8 +116,14 @@
 			return err
 		}
 	}
-	if err := s.seed(ctx, p, token); err != nil {
-		return err
+	if s.settings.Platform.Catalogue != "" {
+		first, err := s.settings.Platform.ReadCatalogue()
+		if err != nil {
+			return err
+		}
+		if err := Seed(ctx, p, token, first); err != nil {
+			return err
+		}
 	}
 	l, err := net.Listen("tcp", s.settings.Platform.Listen)
 	if err != nil {
@@ -136,15 +142,8 @@
 	return nil
 }
 
-// seed writes the first version of the catalogue into the table.
-func (s *Standins) seed(ctx context.Context, p *platform.Server, token string) error {
-	if s.settings.Platform.Catalogue == "" {
-		return nil
-	}
-	first, err := s.settings.Platform.ReadCatalogue()
-	if err != nil {
-		return err
-	}
+// Seed writes the first version of the catalogue into the table of p.
+func Seed(ctx context.Context, p *platform.Server, token string, first galenalatch.Catalogue) error {
 	c, err := call.New("http://platform.invalid", call.WithToken(token), call.WithTransport(p.Transport()))
 	if err != nil {
 		return err
