--- a/internal/load/result/result.go
+++ b/internal/load/result/result.go
@@ -36,7 +36,7 @@
 	First   time.Duration
 	// Wait is the time from the call to the first piece of its answer,
 	// with the tries before.
-	Wait time.Duration
+	Wait  time.Duration
 	Total time.Duration
 }
 
