Add the demo: a whole fleet in one process

galenalatch demo embeds eight routers, the platform's stand-in, model engines and plain services, serves the calls of eight workspaces through the load generator, makes failures happen and checks the promises at the end.

--- a/internal/process/command/commands.go
+++ b/internal/process/command/commands.go
@@ -24,6 +24,7 @@
 	path  string
 	check bool
 	ids   []string
+	demo  demoFlags
 }
 
 // Register adds the commands to app. Their output goes to out.
@@ -47,6 +48,7 @@
 	l.Flag("plan", "File with the load plan in JSON.").Required().ExistingFileVar(&c.path)
 	l.Flag("check", "Check the plan and exit.").BoolVar(&c.check)
 	l.Action(c.action(c.load))
+	c.registerDemo(app)
 	return c
 }
 
