peer/link: keep the first bytes of a peer that answers at once

Cause: net/http reads ahead while a connection is hijacked. The reader handed to the WebSocket library held these bytes behind a MultiReader, with nothing buffered; the library takes over the buffered bytes only and then reads from the connection. So the first bytes of a Hello that arrived early were lost, the connection failed with 'unexpected rsv bits', and the peer counted as unreachable for 2 s. Ruled out: a plain HTTP answer on an upgraded connection and the tie-break of two connections (the errors also appeared without one). Change: buffer the early bytes before the reader is handed over.

--- a/internal/peer/link/handshake.go
+++ b/internal/peer/link/handshake.go
@@ -206,6 +206,11 @@
 		return nil, nil, errors.Join(err, c.Close())
 	}
 	n := &counted{c, h.session}
-	r := bufio.NewReader(io.MultiReader(bytes.NewReader(early), n))
+	r := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(early), n), len(early))
+	// The library keeps only what is buffered and reads on from the
+	// connection.
+	if _, err := r.Peek(len(early)); err != nil {
+		return nil, nil, errors.Join(err, c.Close())
+	}
 	return n, bufio.NewReadWriter(r, bufio.NewWriter(n)), nil
 }
--- /dev/null
+++ b/internal/peer/link/handshake_test.go
@@ -0,0 +1,42 @@
+package link
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// upgrade is a response writer whose connection was read ahead.
+type upgrade struct {
+	http.ResponseWriter
+	conn  net.Conn
+	early string
+}
+
+func (u upgrade) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	r := bufio.NewReader(strings.NewReader(u.early))
+	_, err := r.Peek(len(u.early))
+	return u.conn, bufio.NewReadWriter(r, bufio.NewWriter(u.conn)), err
+}
+
+// Guards against losing the first bytes of a peer that sends its Hello before
+// the server has hijacked the connection: the WebSocket library takes over
+// only the bytes that are buffered in the reader.
+func TestHijackKeepsEarlyBytes(t *testing.T) {
+	for _, early := range []string{"", "a", strings.Repeat("a", 4096)} {
+		here, there := net.Pipe()
+		defer func() { assert.NilError(t, there.Close()) }()
+		defer func() { assert.NilError(t, here.Close()) }()
+		_, rw, err := (&hijacked{upgrade{conn: here, early: early}, nil}).Hijack()
+		assert.NilError(t, err)
+		assert.Equal(t, rw.Reader.Buffered(), len(early))
+		got, err := io.ReadAll(io.LimitReader(rw.Reader, int64(len(early))))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), early)
+	}
+}
