Share what the callers' handlers have in common

Cause: the handlers of the chat completions API and of plain services had the same options, authentication, limits, sink and end of an answer twice. Change: package request holds them; both handlers keep their own parsing.

--- a/internal/caller/openai/gone_test.go
+++ b/internal/caller/openai/gone_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/caller/openai"
+	"github.com/galenalatch/galenalatch/internal/caller/request"
 )
 
 // endless is a Submitter whose stream goes on until its context ends.
@@ -35,7 +36,7 @@
 	for _, length := range []int64{0, -1} {
 		e := endless{make(chan error, 1)}
 		s, _ := start(t, &fake{})
-		s.Config.Handler = openai.New(e, catalogue, func(*http.Request) (galenalatch.WorkspaceName, error) { return "graz", nil })
+		s.Config.Handler = openai.New(request.New(e, catalogue, func(*http.Request) (galenalatch.WorkspaceName, error) { return "graz", nil }))
 		ctx, cancel := context.WithCancel(t.Context())
 		r, err := http.NewRequestWithContext(ctx, "POST", s.URL+openai.ChatPath,
 			strings.NewReader(`{"model":"draft","stream":true,"messages":[{"role":"user","content":"x"}]}`))
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -7,14 +7,10 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
-
-	"github.com/google/uuid"
 
 	"github.com/galenalatch/galenalatch"
-	"github.com/galenalatch/galenalatch/internal/caller/body"
-	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/reply"
+	"github.com/galenalatch/galenalatch/internal/caller/request"
 )
 
 // ChatPath and ModelsPath are the paths that the handler serves.
@@ -23,134 +19,69 @@
 	ModelsPath = "/v1/models"
 )
 
-// ClassHeader selects the class of work.
-const ClassHeader = "X-Class"
-
 // Handler serves the paths below /v1/.
 type Handler struct {
-	submitter galenalatch.Submitter
-	current   func() galenalatch.Catalogue
-	workspace func(*http.Request) (galenalatch.WorkspaceName, error)
-	limit     *connections.Limit
-	observe   func(r galenalatch.Request, err error, first, total time.Duration)
-	reader    body.Reader
-}
-
-// Option changes a handler.
-type Option func(*Handler)
-
-// WithBodyLimit bounds the bytes of a request body. The default is 4 MB.
-func WithBodyLimit(n int64) Option {
-	return func(h *Handler) { h.reader.Limit = n }
-}
-
-// WithLimit bounds what is held for a workspace. Handlers can share a limit.
-func WithLimit(l *connections.Limit) Option {
-	return func(h *Handler) { h.limit = l }
-}
-
-// WithObserver calls observe at the end of each request. The time to the
-// first piece is 0 when there was none. Fields of r that are not known at
-// the time of an error are empty.
-func WithObserver(observe func(r galenalatch.Request, err error, first, total time.Duration)) Option {
-	return func(h *Handler) { h.observe = observe }
+	server *request.Server
 }
 
-// New returns a handler that submits requests to s. The function current
-// returns the catalogue, workspace authenticates a request.
-func New(s galenalatch.Submitter, current func() galenalatch.Catalogue,
-	workspace func(*http.Request) (galenalatch.WorkspaceName, error), options ...Option) *Handler {
-	h := &Handler{
-		submitter: s,
-		current:   current,
-		workspace: workspace,
-		observe:   func(galenalatch.Request, error, time.Duration, time.Duration) {},
-		reader:    body.Reader{Limit: 4 << 20, Timeout: 30 * time.Second},
-	}
-	for _, o := range options {
-		o(h)
-	}
-	return h
+// New returns a handler whose requests go through s.
+func New(s *request.Server) *Handler {
+	return &Handler{server: s}
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := galenalatch.Request{ID: galenalatch.RequestID(uuid.NewString())}
-	s := &sink{writer: reply.New(w, r, q.ID, true), start: time.Now()}
-	err := h.serve(w, r, &q, s)
-	h.observe(q, err, s.first, time.Since(s.start))
-	if err != nil {
-		s.writer.Fail(err)
-	}
+	h.server.Serve(w, r, true, h.serve)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *galenalatch.Request, s *sink) error {
-	var err error
-	if q.Workspace, err = h.workspace(r); err != nil {
-		return err
-	}
-	held, err := h.limit.Acquire(q.Workspace)
-	if err != nil {
-		return err
-	}
-	defer held.Release()
+func (h *Handler) serve(c *request.Call) error {
+	r := c.HTTP
 	model, one := strings.CutPrefix(r.URL.Path, ModelsPath+"/")
 	switch {
 	case r.URL.Path == ChatPath && r.Method == http.MethodPost:
-		return h.chat(w, r, q, s, held)
+		return h.chat(c)
 	case r.URL.Path == ChatPath:
-		return wrongMethod(w, r, http.MethodPost)
+		return c.WrongMethod(http.MethodPost)
 	case r.URL.Path != ModelsPath && !one:
 		return galenalatch.KindNotFound.Errorf("there is nothing at this path; POST %s and GET %s are served", ChatPath, ModelsPath)
 	case r.Method != http.MethodGet:
-		return wrongMethod(w, r, http.MethodGet)
+		return c.WrongMethod(http.MethodGet)
 	case one:
-		return h.oneModel(s.writer, model)
+		return h.oneModel(c.Writer, model)
 	}
-	return h.allModels(s.writer)
+	return h.allModels(c.Writer)
 }
 
-func wrongMethod(w http.ResponseWriter, r *http.Request, allowed string) error {
-	w.Header().Set("Allow", allowed)
-	return galenalatch.KindBadRequest.Errorf("method %.16q is not allowed at this path; allowed: %s", r.Method, allowed)
-}
-
-func (h *Handler) chat(w http.ResponseWriter, r *http.Request, q *galenalatch.Request, s *sink, held *connections.Held) error {
-	q.Class = galenalatch.Class(r.Header.Get(ClassHeader))
-	if q.Class == "" {
-		q.Class = galenalatch.Interactive
-	}
-	if !q.Class.Valid() {
-		return galenalatch.KindBadRequest.Errorf("header %s: %.60q is not allowed; allowed: interactive, batch", ClassHeader, string(q.Class))
+func (h *Handler) chat(c *request.Call) error {
+	if err := c.SetClass(); err != nil {
+		return err
 	}
-	data, err := h.reader.Read(w, r, held.Grow)
+	data, err := c.ReadBody()
 	if err != nil {
 		return err
 	}
-	c, err := parse(r.Header, data)
+	m, err := parse(c.HTTP.Header, data)
 	if err != nil {
 		return err
 	}
-	p, ok := poolOf(h.current(), c.model)
+	p, ok := poolOf(h.server.Catalogue(), m.model)
 	if !ok {
-		return galenalatch.KindNotFound.Errorf("model: %.128q is not served; GET %s lists the models", c.model, ModelsPath)
+		return galenalatch.KindNotFound.Errorf("model: %.128q is not served; GET %s lists the models", m.model, ModelsPath)
 	}
+	q := &c.Request
 	q.Pool = p.Name
-	q.Estimate = c.estimate(p)
+	q.Estimate = m.estimate(p)
 	q.Method, q.Path = http.MethodPost, ChatPath
 	q.Repeatable = p.Repeatable(q.Method, q.Path)
-	q.Header = forwarded(r.Header, q.ID, c.stream)
-	if q.Body, err = c.encode(); err != nil {
-		return err
-	}
-	s.hideUsage = c.stream && !c.wantsUsage
-	if err := h.submitter.Submit(r.Context(), *q, s); err != nil {
+	q.Header = forwarded(c.HTTP.Header, q.ID, m.stream)
+	if q.Body, err = m.encode(); err != nil {
 		return err
 	}
-	if !s.headSeen {
-		return galenalatch.KindInternal.Errorf("the request %s ended without an answer", q.ID)
+	hideUsage := m.stream && !m.wantsUsage
+	c.Hide = func(event []byte) bool {
+		return isDone(event) || hideUsage && onlyUsage(event)
 	}
-	return s.writer.End(true)
+	return c.Submit()
 }
 
 // forwarded returns the header for the backend server. The caller's key and
@@ -189,7 +120,7 @@
 }
 
 func (h *Handler) oneModel(w *reply.Writer, name string) error {
-	if _, ok := poolOf(h.current(), name); !ok {
+	if _, ok := poolOf(h.server.Catalogue(), name); !ok {
 		return galenalatch.KindNotFound.Errorf("model: %.128q is not served; GET %s lists the models", name, ModelsPath)
 	}
 	return answer(w, newModel(name))
@@ -202,7 +133,7 @@
 	}
 	list.Object = "list"
 	list.Data = []model{}
-	for _, p := range h.current().Pools {
+	for _, p := range h.server.Catalogue().Pools {
 		if p.Kind != galenalatch.ModelPool {
 			continue
 		}
--- a/internal/caller/openai/sdk_test.go
+++ b/internal/caller/openai/sdk_test.go
@@ -23,6 +23,7 @@
 	"github.com/galenalatch/galenalatch/internal/caller/auth"
 	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/openai"
+	"github.com/galenalatch/galenalatch/internal/caller/request"
 )
 
 const key = "a-key-of-workspace-graz"
@@ -80,8 +81,8 @@
 	}
 }
 
-func start(t *testing.T, f *fake, options ...openai.Option) (*httptest.Server, sdk.Client) {
-	h := openai.New(f, catalogue, auth.New(catalogue).Workspace, options...)
+func start(t *testing.T, f *fake, options ...request.Option) (*httptest.Server, sdk.Client) {
+	h := openai.New(request.New(f, catalogue, auth.New(catalogue).Workspace, options...))
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	return s, sdk.NewClient(option.WithBaseURL(s.URL+"/v1/"), option.WithAPIKey(key), option.WithMaxRetries(0))
@@ -201,7 +202,7 @@
 func TestRequest(t *testing.T) {
 	f := &fake{status: 200, kind: "application/json", pieces: []string{whole}}
 	var observed galenalatch.Request
-	_, client := start(t, f, openai.WithLimit(connections.New(1, 1000)), openai.WithObserver(func(r galenalatch.Request, err error, first, total time.Duration) {
+	_, client := start(t, f, request.WithLimit(connections.New(1, 1000)), request.WithObserver(func(r galenalatch.Request, err error, first, total time.Duration) {
 		assert.Check(t, err == nil && first > 0 && total >= first)
 		observed = r
 	}))
@@ -232,7 +233,7 @@
 // messages that do not say what is wrong, or that show the conversation.
 func TestBadRequests(t *testing.T) {
 	f := &fake{status: 200, kind: "application/json", pieces: []string{whole}}
-	s, _ := start(t, f, openai.WithBodyLimit(2000))
+	s, _ := start(t, f, request.WithBodyLimit(2000))
 	const messages = `"messages":[{"role":"user","content":"private words"}]`
 	with := func(field string) string { return `{"model":"draft",` + messages + `,` + field + `}` }
 	post := func(body string) *http.Request {
--- a/internal/caller/plain/handler.go
+++ b/internal/caller/plain/handler.go
@@ -8,24 +8,17 @@
 	"path"
 	"slices"
 	"strings"
-	"time"
-
-	"github.com/google/uuid"
 
 	"github.com/galenalatch/galenalatch"
-	"github.com/galenalatch/galenalatch/internal/caller/body"
-	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/reply"
+	"github.com/galenalatch/galenalatch/internal/caller/request"
 )
 
 // Prefix is the path under which the handler serves.
 const Prefix = "/services/"
 
-// Names of headers that callers set.
-const (
-	ClassHeader = "X-Class"
-	KeyHeader   = "Idempotency-Key"
-)
+// KeyHeader carries the caller's idempotency key.
+const KeyHeader = "Idempotency-Key"
 
 // maxKey bounds the length of an idempotency key.
 const maxKey = 255
@@ -36,101 +29,42 @@
 
 // Handler serves the paths below Prefix.
 type Handler struct {
-	submitter galenalatch.Submitter
-	current   func() galenalatch.Catalogue
-	workspace func(*http.Request) (galenalatch.WorkspaceName, error)
-	limit     *connections.Limit
-	observe   func(r galenalatch.Request, err error, first, total time.Duration)
-	reader    body.Reader
-}
-
-// Option changes a handler.
-type Option func(*Handler)
-
-// WithBodyLimit bounds the bytes of a request body. The default is 4 MB.
-func WithBodyLimit(n int64) Option {
-	return func(h *Handler) { h.reader.Limit = n }
+	server *request.Server
 }
 
-// WithLimit bounds what is held for a workspace. Handlers can share a limit.
-func WithLimit(l *connections.Limit) Option {
-	return func(h *Handler) { h.limit = l }
-}
-
-// WithObserver calls observe at the end of each request. The time to the
-// first piece is 0 when there was none. Fields of r that are not known at
-// the time of an error are empty.
-func WithObserver(observe func(r galenalatch.Request, err error, first, total time.Duration)) Option {
-	return func(h *Handler) { h.observe = observe }
-}
-
-// New returns a handler that submits calls to s. The function current
-// returns the catalogue, workspace authenticates a request.
-func New(s galenalatch.Submitter, current func() galenalatch.Catalogue,
-	workspace func(*http.Request) (galenalatch.WorkspaceName, error), options ...Option) *Handler {
-	h := &Handler{
-		submitter: s,
-		current:   current,
-		workspace: workspace,
-		observe:   func(galenalatch.Request, error, time.Duration, time.Duration) {},
-		reader:    body.Reader{Limit: 4 << 20, Timeout: 30 * time.Second},
-	}
-	for _, o := range options {
-		o(h)
-	}
-	return h
+// New returns a handler whose calls go through s.
+func New(s *request.Server) *Handler {
+	return &Handler{server: s}
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := galenalatch.Request{ID: galenalatch.RequestID(uuid.NewString())}
-	s := &sink{writer: reply.New(w, r, q.ID, false), start: time.Now()}
-	err := h.serve(w, r, &q, s)
-	h.observe(q, err, s.first, time.Since(s.start))
-	if err != nil {
-		s.writer.Fail(err)
-	}
+	h.server.Serve(w, r, false, h.serve)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *galenalatch.Request, s *sink) error {
-	var err error
-	if q.Workspace, err = h.workspace(r); err != nil {
-		return err
-	}
-	held, err := h.limit.Acquire(q.Workspace)
-	if err != nil {
-		return err
-	}
-	defer held.Release()
+func (h *Handler) serve(c *request.Call) error {
+	r, q := c.HTTP, &c.Request
 	if !slices.Contains(methods, r.Method) {
-		w.Header().Set("Allow", strings.Join(methods, ", "))
-		return galenalatch.KindBadRequest.Errorf("method %.16q is not allowed; allowed: %s", r.Method, strings.Join(methods, ", "))
+		return c.WrongMethod(methods...)
 	}
 	p, clean, err := h.target(r.URL)
 	if err != nil {
 		return err
 	}
 	q.Pool = p.Name
-	if q.Class, err = class(r.Header); err != nil {
+	if err := c.SetClass(); err != nil {
 		return err
 	}
 	if q.Key, err = key(r.Header); err != nil {
 		return err
 	}
-	q.Method = r.Method
 	q.Path = onServer(r.URL)
 	q.Repeatable = p.Repeatable(r.Method, clean)
 	q.Header = forwarded(r.Header, q.ID)
-	if q.Body, err = h.reader.Read(w, r, held.Grow); err != nil {
+	if q.Body, err = c.ReadBody(); err != nil {
 		return err
 	}
-	if err := h.submitter.Submit(r.Context(), *q, s); err != nil {
-		return err
-	}
-	if !s.headSeen {
-		return galenalatch.KindInternal.Errorf("the request %s ended without an answer", q.ID)
-	}
-	return s.writer.End(false)
+	return c.Submit()
 }
 
 // target returns the pool and the decoded path on the backend server.
@@ -151,7 +85,7 @@
 		return galenalatch.Pool{}, "", galenalatch.KindBadRequest.Errorf(
 			"path: %.80q is not allowed; allowed: paths without empty or dot segments, backslashes, semicolons and encoded slashes", clean)
 	}
-	p, ok := h.current().Pool(galenalatch.PoolName(name))
+	p, ok := h.server.Catalogue().Pool(galenalatch.PoolName(name))
 	if !ok || p.Kind != galenalatch.PlainPool {
 		return galenalatch.Pool{}, "", galenalatch.KindNotFound.Errorf("pool: %.64q is not a plain service", name)
 	}
@@ -167,17 +101,6 @@
 	return "/" + tail
 }
 
-func class(h http.Header) (galenalatch.Class, error) {
-	c := galenalatch.Class(h.Get(ClassHeader))
-	if c == "" {
-		return galenalatch.Interactive, nil
-	}
-	if !c.Valid() {
-		return "", galenalatch.KindBadRequest.Errorf("header %s: %.60q is not allowed; allowed: interactive, batch", ClassHeader, string(c))
-	}
-	return c, nil
-}
-
 // key returns the idempotency key. The values of bad keys are not shown:
 // callers use order numbers and the like as keys.
 func key(h http.Header) (string, error) {
@@ -203,7 +126,7 @@
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
 	"Authorization", "Cookie",
-	ClassHeader, reply.OutcomeHeader, reply.RequestHeader, "X-Fencing-Token",
+	request.ClassHeader, reply.OutcomeHeader, reply.RequestHeader, "X-Fencing-Token",
 	"X-Http-Method", "X-Http-Method-Override", "X-Method-Override",
 }
 
@@ -224,28 +147,3 @@
 	h.Set(reply.RequestHeader, string(id))
 	return h
 }
-
-// sink passes an answer on to the caller while it arrives.
-type sink struct {
-	writer   *reply.Writer
-	start    time.Time
-	first    time.Duration
-	headSeen bool
-}
-
-// Head implements galenalatch.Sink.
-func (s *sink) Head(status int, header http.Header) error {
-	s.headSeen = true
-	return s.writer.Head(status, header)
-}
-
-// Piece implements galenalatch.Sink.
-func (s *sink) Piece(data []byte) error {
-	if s.first == 0 {
-		s.first = time.Since(s.start)
-	}
-	return s.writer.Body(data)
-}
-
-// Progress implements galenalatch.Sink.
-func (s *sink) Progress(galenalatch.Usage) {}
--- a/internal/caller/plain/handler_test.go
+++ b/internal/caller/plain/handler_test.go
@@ -15,6 +15,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/plain"
+	"github.com/galenalatch/galenalatch/internal/caller/request"
 )
 
 // fake is a Submitter that records requests.
@@ -48,8 +49,8 @@
 	return "market", nil
 }
 
-func start(t *testing.T, f *fake, options ...plain.Option) *httptest.Server {
-	s := httptest.NewServer(plain.New(f, catalogue, workspace, options...))
+func start(t *testing.T, f *fake, options ...request.Option) *httptest.Server {
+	s := httptest.NewServer(plain.New(request.New(f, catalogue, workspace, options...)))
 	t.Cleanup(s.Close)
 	return s
 }
@@ -105,7 +106,7 @@
 // Guards against bad calls that reach a backend server.
 func TestBadCalls(t *testing.T) {
 	f := &fake{}
-	s := start(t, f, plain.WithBodyLimit(3))
+	s := start(t, f, request.WithBodyLimit(3))
 	var b strings.Builder
 	for _, c := range []struct {
 		method, target string
@@ -159,7 +160,7 @@
 // limit, and against a limit that counts ended requests.
 func TestLimit(t *testing.T) {
 	l := connections.New(2, 10)
-	s := start(t, &fake{}, plain.WithLimit(l), plain.WithBodyLimit(8))
+	s := start(t, &fake{}, request.WithLimit(l), request.WithBodyLimit(8))
 	status := func() int {
 		resp := call(t, s, "GET", "/services/records/x")
 		_, err := io.ReadAll(resp.Body)
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -14,6 +14,7 @@
 	"github.com/galenalatch/galenalatch/internal/caller/connections"
 	"github.com/galenalatch/galenalatch/internal/caller/openai"
 	"github.com/galenalatch/galenalatch/internal/caller/plain"
+	"github.com/galenalatch/galenalatch/internal/caller/request"
 	configcatalogue "github.com/galenalatch/galenalatch/internal/config/catalogue"
 	"github.com/galenalatch/galenalatch/internal/decide/freshness"
 	"github.com/galenalatch/galenalatch/internal/decide/lease"
@@ -206,16 +207,14 @@
 	}
 	keys := auth.New(r.catalogue.Current)
 	limit := connections.New(r.settings.Limits.ConnectionsPerWorkspace, r.settings.Limits.HeldBytesPerWorkspace)
-	chat := openai.New(r.entry, r.catalogue.Current, keys.Workspace,
-		openai.WithBodyLimit(r.settings.Limits.BodyBytes), openai.WithLimit(limit), openai.WithObserver(r.metrics.Ended))
-	calls := plain.New(r.entry, r.catalogue.Current, keys.Workspace,
-		plain.WithBodyLimit(r.settings.Limits.BodyBytes), plain.WithLimit(limit), plain.WithObserver(r.metrics.Ended))
+	server := request.New(r.entry, r.catalogue.Current, keys.Workspace,
+		request.WithBodyLimit(r.settings.Limits.BodyBytes), request.WithLimit(limit), request.WithObserver(r.metrics.Ended))
 	verbs := api.New(r.catalogue, api.Fleet{Status: r.status, Accepted: r.accepted, Instances: r.fleet.Instances},
 		galenalatch.Diff, auth.Token(operator), api.WithObserver(r.onChange))
 
 	a := r.settings.Listen
-	r.listener.Handle(a.Caller, "/v1/", chat)
-	r.listener.Handle(a.Caller, plain.Prefix, calls)
+	r.listener.Handle(a.Caller, "/v1/", openai.New(server))
+	r.listener.Handle(a.Caller, plain.Prefix, plain.New(server))
 	r.listener.Handle(a.Caller, "/healthz", http.HandlerFunc(r.serveHealth))
 	r.listener.Handle(a.Caller, "/readyz", http.HandlerFunc(r.serveReady))
 	r.listener.Handle(a.Peer, "/peer", r.mesh.Handler())
