Measure all pools and the term start at target size

The gap comes from cells that fill their own slots before they hear of the others; it lasts for one request, since nothing is preempted.

--- a/internal/decide/cell/bench_test.go
+++ b/internal/decide/cell/bench_test.go
@@ -144,24 +144,63 @@
 	each(b, z, func(b *testing.B, t *trial) { saturate(b, t, 60, 120) })
 }
 
-// BenchmarkTermStart measures the first minute after all workspaces wake.
+// BenchmarkTermStart measures the first minute after nearly all workspaces
+// wake together. The baselines are never cold.
 func BenchmarkTermStart(b *testing.B) {
-	z := today(named("w", 16, tenant{class: galenalatch.Interactive, open: 40, cost: 60})...)
-	each(b, z, func(b *testing.B, t *trial) {
-		t.measure(60)
-		t.setAsleep(true)
-		t.measure(120)
-		t.reset()
-		t.setAsleep(false)
-		t.measure(60)
-		gap, _ := t.gap(all)
-		b.ReportMetric(gap, "gap-units")
-		b.ReportMetric(100*t.busy, "util-%")
-		if t.central == nil {
-			busiest, _ := t.control(60)
-			b.ReportMetric(busiest, "busiest-B/s")
-		}
-	})
+	for name, z := range map[string]size{
+		"today":  today(named("w", 16, tenant{class: galenalatch.Interactive, open: 40, cost: 60})...),
+		"target": target(0),
+	} {
+		b.Run(name, func(b *testing.B) {
+			each(b, z, func(b *testing.B, t *trial) {
+				t.measure(120)
+				t.setAsleep(true)
+				t.measure(120)
+				t.reset()
+				t.setAsleep(false)
+				t.measure(60)
+				gap, _ := t.gap(all)
+				b.ReportMetric(gap, "gap-units")
+				b.ReportMetric(100*t.busy, "util-%")
+				if t.central == nil {
+					b.ReportMetric(float64(t.peak)/float64(len(t.nodes)), "peak-B/s/node")
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkTargetAllPools runs the 27 pools of the target size, one after the
+// other, and adds up their control traffic and decision time over 400 nodes.
+func BenchmarkTargetAllPools(b *testing.B) {
+	for _, p := range policies {
+		b.Run(p, func(b *testing.B) {
+			for b.Loop() {
+				var bytes, work, busy, slots, ratio, grants float64
+				for i := range 27 {
+					t := newTrial(target(i), p)
+					t.measure(120)
+					t.reset()
+					t.measure(30)
+					gap, _ := t.gap(all)
+					ratio = max(ratio, gap/t.size.bound())
+					n := float64(t.size.workers * t.pool.WarmLimit)
+					busy, slots = busy+n*t.busy, slots+n
+					bytes += float64(t.sent()) / 30
+					work += t.work.Seconds() / 30
+					grants += float64(t.grants) / 30
+				}
+				b.ReportMetric(100*busy/slots, "util-%")
+				b.ReportMetric(100*ratio, "worst-gap-%-of-bound")
+				if p == "cells" {
+					b.ReportMetric(bytes/400, "mean-B/s/node")
+					b.ReportMetric(100*work/400, "core-%/node")
+					b.ReportMetric(grants, "grants/s")
+				}
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
 }
 
 func (t *trial) setAsleep(asleep bool) {
--- a/internal/decide/cell/load_test.go
+++ b/internal/decide/cell/load_test.go
@@ -67,9 +67,11 @@
 	calls   int
 	bytes   map[*node]int64
 	byType  map[string]int64
-	work    time.Duration
-	grants  int
-	busy    float64
+	// peak is the largest number of bytes that all nodes sent in a second.
+	peak   int64
+	work   time.Duration
+	grants int
+	busy   float64
 }
 
 // policies are the names of the compared policies.
@@ -203,7 +205,7 @@
 
 // reset starts a new measurement.
 func (t *trial) reset() {
-	t.bytes, t.byType, t.work, t.grants, t.busy = map[*node]int64{}, map[string]int64{}, 0, 0, 0
+	t.bytes, t.byType, t.work, t.grants, t.busy, t.peak = map[*node]int64{}, map[string]int64{}, 0, 0, 0, 0
 	for _, x := range t.tenants {
 		x.samples, x.everIdle = nil, false
 		x.waits.Reset()
@@ -213,7 +215,9 @@
 // measure runs for a number of seconds and samples once a second.
 func (t *trial) measure(seconds int) {
 	for range seconds {
+		before := t.sent()
 		t.run(time.Second)
+		t.peak = max(t.peak, t.sent()-before)
 		for _, x := range t.tenants {
 			sum := x.served
 			for k := range x.running {
@@ -230,6 +234,15 @@
 	t.busy /= float64(seconds * t.size.workers * t.pool.WarmLimit)
 }
 
+// sent returns the number of bytes that all nodes have sent.
+func (t *trial) sent() int64 {
+	sum := int64(0)
+	for _, b := range t.bytes {
+		sum += b
+	}
+	return sum
+}
+
 // moveHome moves the waiting requests of a tenant to another home cell.
 func (t *trial) moveHome(x *tenant, home int) {
 	if x.home == home {
