--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -90,6 +90,14 @@
 		{"expired", func(c *Cell) { c.SetLease(start, false) }, 0},
 		{"lapsed", func(c *Cell) { c.SetLease(start, true) }, 1},
 		{"lapsed for 2 h", func(c *Cell) { c.SetLease(start.Add(-2*time.Hour-time.Second), true) }, 0},
+		{"report incomplete", func(c *Cell) {
+			c.SetRouters(start, []galenalatch.RouterID{"x"})
+			c.Handle(start, "x", galenalatch.Report{Cell: cellID, Epoch: 1, More: true})
+		}, 0},
+		{"report complete", func(c *Cell) {
+			c.SetRouters(start, []galenalatch.RouterID{"x"})
+			c.Handle(start, "x", galenalatch.Report{Cell: cellID, Epoch: 1})
+		}, 1},
 		{"unreported", func(c *Cell) { c.SetRouters(start, []galenalatch.RouterID{"x"}) }, 0},
 		{"newer", func(c *Cell) { c.SetPeers(start, []galenalatch.Holder{{Cell: cellID, Epoch: 2}}) }, 0},
 		{"boot unknown", func(c *Cell) { c.SetServers(start, []galenalatch.Instance{{ID: "t"}}) }, 0},
--- a/internal/decide/cell/routers.go
+++ b/internal/decide/cell/routers.go
@@ -116,7 +116,7 @@
 		return
 	}
 	r := c.router(from)
-	if m.Epoch == c.cfg.Epoch {
+	if m.Epoch == c.cfg.Epoch && !m.More {
 		r.reported = true
 	}
 	seen := make(map[uint64]bool, len(m.Running))
--- a/message.go
+++ b/message.go
@@ -84,6 +84,9 @@
 	Epoch   Epoch     `cbor:"epoch"`
 	Waiting []Waiting `cbor:"waiting"`
 	Running []Running `cbor:"running"`
+	// More says that another part of the report follows, because one
+	// message could not hold it.
+	More bool `cbor:"more,omitempty"`
 }
 
 // Enqueue asks the holder of a home cell for a grant.
