Lend only while the lease outlasts the term of a loan

Cause: a slot that is lent just before the lease ends can be granted while a successor already counts the server as free. Found by reasoning.

--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -177,6 +177,10 @@
 			return
 		}
 		p := c.neediest(now)
+		if !c.lapsed && c.leaseExpires.Sub(now) < c.cfg.LoanTerm {
+			// A successor of this holder would not know of the slot.
+			p = nil
+		}
 		switch {
 		case c.queue.Ready() > 0 && (p == nil || c.queue.VirtualTime() <= p.virtualTime+c.cfg.LendTolerance):
 			c.grant(now, t, nil)
