--- a/internal/decide/claim/claim_test.go
+++ b/internal/decide/claim/claim_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/galenalatch/galenalatch"
@@ -223,3 +224,17 @@
 		}
 	})
 }
+
+// TestLateClaim guards against a claim that is forgotten because a read-back
+// did not show it yet: it would block the key when it arrives.
+func TestLateClaim(t *testing.T) {
+	w := &world{now: time.Unix(0, 0), up: true}
+	a := w.start("body")
+	assert.Assert(t, a.claim.Next(w.now).Write != nil)
+	a.claim.Result(w.now, galenalatch.Row{}, unclear)
+	assert.Assert(t, a.claim.Next(w.now).Read)
+	a.claim.Observe(w.now, galenalatch.Row{}, missing)
+	a.claim.Next(w.now.Add(time.Minute))
+	assert.Equal(t, a.claim.Verdict(), PlatformDown)
+	assert.Assert(t, a.claim.MustRelease())
+}
