backend/engine: ask every stream for its usage

A caller that did not ask for the usage was charged an estimate of its prompt, 4 bytes a token. The runner now asks and hides the event with the usage from such a caller. A stream without events gets its header too.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -58,7 +58,12 @@
 // Run implements galenalatch.Runner. The sink's Head is called with the first
 // event of a stream, or when a whole body has arrived. Until then the request
 // can be repeated elsewhere.
+//
+// A stream is always asked for its usage. The event with the usage is passed
+// on only to a caller that asked for it too.
 func (c *Client) Run(ctx context.Context, o galenalatch.Order, s galenalatch.Sink) (galenalatch.Usage, error) {
+	var added bool
+	o.Body, added = askForUsage(o.Body)
 	conn, err := c.pool.Get(ctx, o.Address, o.Boot)
 	if err != nil {
 		return galenalatch.Usage{}, err
@@ -78,7 +83,7 @@
 		return galenalatch.Usage{}, err
 	}
 	if isStream(resp) {
-		t := stream{client: c, order: o, sink: s, conn: conn, response: resp}
+		t := stream{client: c, order: o, sink: s, conn: conn, response: resp, hidesUsage: added}
 		return t.run(ctx)
 	}
 	return c.whole(ctx, conn, resp, s)
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// TestUsage guards against a caller that escapes its true cost by not asking
+// for the usage, and against an event that it did not ask for.
+func TestUsage(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	address := start(t, s)
+	c := newClient(t)
+	const asked = `"stream_options":{"include_usage":true}`
+	for text, pieces := range map[string]int{
+		`"stream_options":{"include_usage":true}`: 6, `"stream_options":{"include_usage":false}`: 5,
+		`"stream_options":null`: 5, `"user":"x"`: 5,
+	} {
+		o := order(address, s.Boot(), "1", "a b", 4, true)
+		o.Body = []byte(strings.Replace(string(o.Body), asked, text, 1))
+		var r recorder
+		u, err := c.Run(t.Context(), o, &r)
+		assert.NilError(t, err)
+		assert.Equal(t, u, galenalatch.Usage{PromptTokens: 2, OutputTokens: 4}, text)
+		assert.Equal(t, r.pieces, pieces, text)
+	}
+}
+
 // TestCutStreams guards against doubled and lost pieces at every place where
 // a stream can break, and against a silent end when it can't be resumed.
 func TestCutStreams(t *testing.T) {
@@ -217,6 +238,10 @@
 	r, err := run(server.Listener.Addr().String())
 	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
 	assert.Equal(t, r.pieces, 1)
+	text = "data: [DONE]\n\n"
+	r, err = run(server.Listener.Addr().String())
+	assert.NilError(t, err)
+	assert.Equal(t, r.heads, 1)
 	text = piece + "data: [DONE]\n\n"
 	for range 2 {
 		r, err = run(server.Listener.Addr().String())
--- a/internal/backend/engine/meter.go
+++ b/internal/backend/engine/meter.go
@@ -39,6 +39,36 @@
 	Tools     json.RawMessage `json:"tool_calls"`
 }
 
+// askForUsage returns the body of a request for a stream with
+// stream_options.include_usage set, and whether that had to be added. Without
+// it the tokens of the prompt are unknown.
+func askForUsage(body []byte) (changed []byte, added bool) {
+	var q, options map[string]json.RawMessage
+	if json.Unmarshal(body, &q) != nil || string(q["stream"]) != "true" {
+		return body, false
+	}
+	if o, ok := q["stream_options"]; ok && json.Unmarshal(o, &options) != nil {
+		return body, false
+	}
+	if string(options["include_usage"]) == "true" {
+		return body, false
+	}
+	if options == nil {
+		options = make(map[string]json.RawMessage)
+	}
+	options["include_usage"] = json.RawMessage("true")
+	o, err := json.Marshal(options)
+	if err != nil {
+		return body, false
+	}
+	q["stream_options"] = o
+	changed, err = json.Marshal(q)
+	if err != nil {
+		return body, false
+	}
+	return changed, true
+}
+
 // prompt estimates the prompt from the body of the request.
 func (m *meter) prompt(body []byte) {
 	var q struct {
@@ -50,11 +80,12 @@
 	m.counted.PromptTokens = int64(len(q.Messages)) / bytesPerToken
 }
 
-// event counts one event of a stream. Data that can't be read costs nothing.
-func (m *meter) event(data []byte) {
+// event counts one event of a stream and reports whether it has only the
+// usage. Data that can't be read costs nothing.
+func (m *meter) event(data []byte) (usageOnly bool) {
 	var c chunk
 	if json.Unmarshal(data, &c) != nil {
-		return
+		return false
 	}
 	if c.Usage != nil {
 		m.stated = c.Usage
@@ -64,6 +95,7 @@
 			m.counted.OutputTokens++
 		}
 	}
+	return c.Usage != nil && len(c.Choices) == 0
 }
 
 // body counts an answer that is not streamed.
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -21,9 +21,11 @@
 	conn     *connection.Connection
 	response *http.Response
 
-	meter    meter
-	started  bool
-	reported time.Time
+	meter   meter
+	started bool
+	// hidesUsage says that the caller did not ask for the usage.
+	hidesUsage bool
+	reported   time.Time
 	// last is the number of the newest event that was passed on.
 	last uint64
 	// numbered says that the newest event had a number.
@@ -43,6 +45,9 @@
 	t.reported = time.Now()
 	for {
 		err := t.pass()
+		if err == nil {
+			err = t.begin()
+		}
 		if err == nil {
 			t.drain()
 			return t.meter.usage(), nil
@@ -94,16 +99,27 @@
 	}
 }
 
+// begin passes on the header once.
+func (t *stream) begin() error {
+	if t.started {
+		return nil
+	}
+	t.started = true
+	t.response.Header.Del("Content-Length")
+	if err := t.sink.Head(t.response.StatusCode, t.response.Header); err != nil {
+		return sinkError{err}
+	}
+	return nil
+}
+
 // piece passes on the data of one event.
 func (t *stream) piece(data []byte) error {
-	if !t.started {
-		t.started = true
-		t.response.Header.Del("Content-Length")
-		if err := t.sink.Head(t.response.StatusCode, t.response.Header); err != nil {
-			return sinkError{err}
-		}
+	if err := t.begin(); err != nil {
+		return err
+	}
+	if t.meter.event(data) && t.hidesUsage {
+		return nil
 	}
-	t.meter.event(data)
 	if err := t.sink.Piece(data); err != nil {
 		return sinkError{err}
 	}
