backend/service: use a new connection for calls that may not be repeated

A server that closes a kept connection as idle while the call is on its way leaves the outcome unknown. Common servers do so after 2 to 5 s.

--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -96,6 +96,13 @@
 		// order names. A new connection shows which of them is alive.
 		c.Close()
 	}
+	return p.Fresh(ctx, address, boot)
+}
+
+// Fresh is like Get but opens a new connection. A server may close a kept
+// connection as idle while a request is on its way to it; then nobody knows
+// whether the request ran.
+func (p *Pool) Fresh(ctx context.Context, address string, boot galenalatch.BootID) (*Connection, error) {
 	c, err := p.open(ctx, address)
 	if err != nil {
 		if ctx.Err() != nil {
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -61,9 +61,15 @@
 	err      error
 }
 
-// Run implements galenalatch.Runner.
+// Run implements galenalatch.Runner. An order that may not be repeated gets a
+// new connection, because the loss of a kept one would leave its outcome
+// unknown.
 func (c *Client) Run(ctx context.Context, o galenalatch.Order, s galenalatch.Sink) (galenalatch.Usage, error) {
-	conn, err := c.pool.Get(ctx, o.Address, o.Boot)
+	get := c.pool.Fresh
+	if o.Repeatable {
+		get = c.pool.Get
+	}
+	conn, err := get(ctx, o.Address, o.Boot)
 	if err != nil {
 		return galenalatch.Usage{}, err
 	}
--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -92,7 +92,9 @@
 		g.Go(func() {
 			id := fmt.Sprint(i)
 			var r recorder
-			_, err := c.Run(t.Context(), order(address, s.Boot(), id, []string{"", "?chunked=1"}[i%2]), &r)
+			o := order(address, s.Boot(), id, []string{"", "?chunked=1"}[i%2])
+			o.Repeatable = i%4 < 2
+			_, err := c.Run(t.Context(), o, &r)
 			assert.Check(t, err)
 			var a standin.Record
 			assert.Check(t, json.Unmarshal([]byte(r.body.String()), &a))
@@ -180,6 +182,25 @@
 	}
 }
 
+// TestIdleClose guards against an unknown outcome of a call that may not be
+// repeated because the server closes kept connections.
+func TestIdleClose(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	used := make(map[string]bool)
+	server := httptest.NewServer(s.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if used[r.RemoteAddr] {
+			process.Abort(w)
+		}
+		used[r.RemoteAddr] = true
+	})))
+	defer server.Close()
+	c := newClient(t)
+	for range 3 {
+		_, err := c.Run(t.Context(), order(server.Listener.Addr().String(), s.Boot(), "1", ""), &recorder{})
+		assert.NilError(t, err)
+	}
+}
+
 // TestHeaders guards against handing on the caller's credentials or fields of
 // one connection, in both directions, and against a changed idempotency key.
 func TestHeaders(t *testing.T) {
