standin/engine: lose the prefix cache with a restart

Cause: the stand-in kept its prefix cache over a restart, unlike an engine. Change: the cache belongs to one start. Measured: a test of the stand-in covers it.

--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -15,9 +15,11 @@
 type prefixCache struct {
 	blocks int
 
-	mu     sync.Mutex
-	recent *list.List
-	known  map[uint64]*list.Element
+	mu sync.Mutex
+	// generation is the start of the process to which the blocks belong.
+	generation int
+	recent     *list.List
+	known      map[uint64]*list.Element
 }
 
 func newPrefixCache(tokens int) *prefixCache {
@@ -30,12 +32,17 @@
 
 // use returns the number of leading tokens that were cached and caches the
 // whole blocks of the prompt.
-func (c *prefixCache) use(words []string) int {
+func (c *prefixCache) use(words []string, generation int) int {
 	if c.blocks == 0 {
 		return 0
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.generation != generation {
+		c.generation = generation
+		c.recent.Init()
+		clear(c.known)
+	}
 	d := xxhash.New()
 	cached, hit := 0, true
 	for i, w := range words {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -158,7 +158,7 @@
 }
 
 func (e *Server) generate(w http.ResponseWriter, n *process.Run, a answer, first int) {
-	cached := e.cache.use(a.request.words)
+	cached := e.cache.use(a.request.words, e.Generation())
 	e.AddCached(int64(cached))
 	a.cached = cached
 	prompt := time.Duration(len(a.request.words)-cached) * e.settings.PromptTokenTime
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -109,6 +109,8 @@
 		long := strings.Repeat("a ", 40)
 		assert.Equal(t, took(long), 40*time.Millisecond)
 		assert.Equal(t, took(long+"b"), 9*time.Millisecond)
+		e.TurnCold()
+		assert.Equal(t, took(long), 40*time.Millisecond)
 		assert.Equal(t, took("c "+long), 41*time.Millisecond)
 		assert.Equal(t, took(strings.Repeat("d ", 64)), 64*time.Millisecond)
 		assert.Equal(t, took(long), 40*time.Millisecond)
