backend: expect the request's identity only from model engines

A plain service may give its answers X-Request-Id values of its own; each of its answers would have been taken for that of another request after it had run. On its connection there is no other request, because only one is in flight and a connection whose body has not ended is not kept. The check moves from the connection to the engine's runner.

--- a/internal/backend/connection/connection.go
+++ b/internal/backend/connection/connection.go
@@ -66,7 +66,7 @@
 	c.conn.arm()
 	resp, err := c.transport.RoundTrip(r)
 	if err == nil {
-		err = c.verify(o, resp)
+		err = c.verify(resp)
 	}
 	if err == nil {
 		return resp, nil
@@ -112,14 +112,11 @@
 	return r, nil
 }
 
-// verify rejects answers that can't belong to the order. A server sends 408
-// on a connection that it finds idle, possibly just before it has seen the
+// verify rejects an answer that need not belong to the request: a server sends
+// 408 on a connection that it finds idle, possibly just before it has seen the
 // request.
-func (c *Connection) verify(o galenalatch.Order, resp *http.Response) error {
+func (c *Connection) verify(resp *http.Response) error {
 	resp.Header = endToEnd(resp.Header)
-	if id := resp.Header.Get("X-Request-Id"); id != "" && id != string(o.Request) {
-		return errors.New("answer belongs to another request")
-	}
 	if resp.StatusCode == http.StatusRequestTimeout {
 		return errors.New("server closed an idle connection")
 	}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -98,10 +98,13 @@
 	return resp.StatusCode == http.StatusOK && strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
 
-// refused returns an error for an answer after which the request is repeated
-// elsewhere. Its outcome is never NotRun, because the request was written.
+// refused returns an error for an answer to another request and for one after
+// which the request is repeated elsewhere. Its outcome is never NotRun, because the request was written.
 func refused(o galenalatch.Order, resp *http.Response) error {
+	id := resp.Header.Get("X-Request-Id")
 	switch {
+	case id != "" && id != string(o.Request):
+		return galenalatch.KindServerBroke.Errorf("answer belongs to the request %q", id)
 	case resp.StatusCode == http.StatusPreconditionFailed:
 		return &galenalatch.Error{
 			Kind: galenalatch.KindStaleGrant, Outcome: galenalatch.OutcomeUnknown,
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -235,6 +235,11 @@
 		return &r, err
 	}
 	text = piece
+	mux.HandleFunc("/other", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "2") })
+	other := order(server.Listener.Addr().String(), s.Boot(), "1", "a", 9, true)
+	other.Path = "/other"
+	_, err := c.Run(t.Context(), other, &recorder{})
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindServerBroke)
 	r, err := run(server.Listener.Addr().String())
 	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
 	assert.Equal(t, r.pieces, 1)
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -167,6 +167,10 @@
 	if err != nil {
 		return err
 	}
+	if err := refused(t.order, resp); err != nil {
+		conn.Close()
+		return err
+	}
 	if !isStream(resp) {
 		conn.Close()
 		return fmt.Errorf("status %d: %w", resp.StatusCode, errNotResumed)
