--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -58,7 +58,12 @@
 // Run implements galenalatch.Runner. The sink's Head is called with the first
 // event of a stream, or when a whole body has arrived. Until then the request
 // can be repeated elsewhere.
+//
+// A stream is always asked for its usage. The event with the usage is passed
+// on only to a caller that asked for it too.
 func (c *Client) Run(ctx context.Context, o galenalatch.Order, s galenalatch.Sink) (galenalatch.Usage, error) {
+	var added bool
+	o.Body, added = askForUsage(o.Body)
 	conn, err := c.pool.Get(ctx, o.Address, o.Boot)
 	if err != nil {
 		return galenalatch.Usage{}, err
@@ -78,7 +83,7 @@
 		return galenalatch.Usage{}, err
 	}
 	if isStream(resp) {
-		t := stream{client: c, order: o, sink: s, conn: conn, response: resp}
+		t := stream{client: c, order: o, sink: s, conn: conn, response: resp, hidesUsage: added}
 		return t.run(ctx)
 	}
 	return c.whole(ctx, conn, resp, s)
@@ -93,10 +98,13 @@
 	return resp.StatusCode == http.StatusOK && strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
 
-// refused returns an error for an answer after which the request is repeated
-// elsewhere. Its outcome is never NotRun, because the request was written.
+// refused returns an error for an answer to another request and for one after
+// which the request is repeated elsewhere. Its outcome is never NotRun, because the request was written.
 func refused(o galenalatch.Order, resp *http.Response) error {
+	id := resp.Header.Get("X-Request-Id")
 	switch {
+	case id != "" && id != string(o.Request):
+		return galenalatch.KindServerBroke.Errorf("answer belongs to the request %q", id)
 	case resp.StatusCode == http.StatusPreconditionFailed:
 		return &galenalatch.Error{
 			Kind: galenalatch.KindStaleGrant, Outcome: galenalatch.OutcomeUnknown,
