Release refused connections and measure links

A refused dial left its connection and two goroutines in the pool of a transport that is never used again. Down is called after the connection is forgotten, so that a message sent in Down belongs to the next connection.

--- a/internal/peer/gossip/link_bench_test.go
+++ b/internal/peer/gossip/link_bench_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,6 +133,13 @@
 	return float64(n) / float64(len(nodes))
 }
 
+// cpu returns the processor time that the process has used.
+func cpu(b *testing.B) time.Duration {
+	var r syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
 func same(_ *Exchange, m galenalatch.Message) galenalatch.Message { return m }
 
 // always adds the holders to each gossip, and asks for who was heard from.
@@ -171,17 +180,29 @@
 		b.Run(c.name, func(b *testing.B) {
 			var down atomic.Bool
 			nodes := startNodes(b, c.n, c.gossip, &down, c.change)
-			<-time.After(10 * time.Second)
+			<-time.After(time.Second)
+			dialled := perNode(nodes) * 2 / float64(c.n-1)
+			<-time.After(9 * time.Second)
 			down.Store(c.down)
 			if c.down {
 				<-time.After(2 * time.Second)
 			}
 			for b.Loop() {
-				before := perNode(nodes)
+				before, used := perNode(nodes), cpu(b)
 				<-time.After(benchTime)
 				b.ReportMetric((perNode(nodes)-before)/benchTime.Seconds(), "B/s")
+				b.ReportMetric((cpu(b)-used).Seconds()/benchTime.Seconds()/float64(c.n)*100, "%core")
+			}
+			runtime.GC()
+			var mem runtime.MemStats
+			runtime.ReadMemStats(&mem)
+			links := 0
+			for _, d := range nodes {
+				links += len(d.mesh.Stats())
 			}
+			b.ReportMetric(float64(mem.HeapAlloc+mem.StackInuse)/float64(links)/1024, "KB/link")
 			if !c.gossip {
+				b.ReportMetric(dialled, "B/dial")
 				return
 			}
 			start := time.Now()
--- a/internal/peer/link/handshake.go
+++ b/internal/peer/link/handshake.go
@@ -118,6 +118,8 @@
 			return &counted{c, s}, nil
 		},
 		MaxResponseHeaderBytes: maxHeader,
+		// Each transport is used once; a refused connection must not stay.
+		DisableKeepAlives: true,
 	}}
 	header := http.Header{}
 	header.Set("Authorization", "Bearer "+m.Token)
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -51,10 +51,10 @@
 // run reads until the connection ends. It waits until the connection that
 // it replaces has delivered its last message.
 func (s *session) run() {
-	defer s.peer.ended(s)
 	select {
 	case <-s.ctx.Done():
 		s.abandon(context.Cause(s.ctx))
+		s.peer.ended(s)
 		return
 	case s.peer.turn <- struct{}{}:
 	}
@@ -69,6 +69,8 @@
 	s.dead.Stop()
 	_ = s.conn.CloseNow()
 	<-s.written
+	// A message that is sent in Down belongs to the next connection.
+	s.peer.ended(s)
 	m.Down(s.peer.id)
 	m.Failed(s.peer.id, context.Cause(s.ctx))
 }
