--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -311,6 +311,13 @@
 	return e.view.Accepted(time.Now(), v)
 }
 
+// Versions returns the newest version that each router is known to hold.
+func (e *Exchange) Versions() map[galenalatch.RouterID]galenalatch.Version {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view.Versions()
+}
+
 // MayChangeLists reports whether a change of the held version may change the
 // lists of routers.
 func (e *Exchange) MayChangeLists() bool {
--- /dev/null
+++ b/internal/process/entry/entry.go
@@ -0,0 +1,185 @@
+// Package entry runs callers' requests: it asks the dispatcher of the home
+// cell for a grant, checks the grant, runs the request on the backend server
+// that the grant names and reports the cost.
+//
+// An entry owns its requests. A dispatcher that loses its state gets it back
+// from the reports of the entries.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/directory"
+)
+
+const (
+	// maxSent is the number of times that a repeatable request is sent.
+	maxSent = 3
+	// maxReturned bounds the grants that a request returns unused.
+	maxReturned = 20
+)
+
+// Claim is the right to run a request that may not be repeated.
+type Claim interface {
+	// Finish stores the answer for callers that repeat the request.
+	Finish(ctx context.Context, a Answer) error
+	// Release says that the request was not sent.
+	Release(ctx context.Context) error
+}
+
+// Answer is a stored answer.
+type Answer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// Claims gives out claims. Exactly one of the three results is set.
+type Claims interface {
+	// Claim waits a while for the end of another run of the request when
+	// wait is set, and otherwise returns an error of KindInProgress at once.
+	Claim(ctx context.Context, r galenalatch.Request, wait bool) (Claim, *Answer, error)
+}
+
+// Options are the parts that an entry works with.
+type Options struct {
+	Self galenalatch.RouterID
+	// Directory returns the current directory.
+	Directory func() *directory.Directory
+	// Holder returns the newest known holder of a cell.
+	Holder func(galenalatch.CellID) (galenalatch.Holder, bool)
+	// Reachable reports whether messages reach the router now.
+	Reachable func(galenalatch.RouterID) bool
+	// Fresh returns nil while the catalogue is known to be current.
+	Fresh func() error
+	// Send queues a message for a router, which may be the own one.
+	Send func(galenalatch.RouterID, galenalatch.Message) bool
+	// Runner returns the runner for a kind of pool.
+	Runner func(galenalatch.PoolKind) galenalatch.Runner
+	Claims Claims
+	// Observer receives measurements; nil means none.
+	Observer Observer
+	// MaxWait bounds the wait for a grant, for each class.
+	MaxWait map[galenalatch.Class]time.Duration
+}
+
+// Observer receives one call for each grant and each request.
+type Observer interface {
+	Granted(r galenalatch.Request, wait time.Duration)
+	FirstPiece(r galenalatch.Request, since time.Duration)
+	Ended(r galenalatch.Request, took time.Duration, units int64, err error)
+}
+
+// Entry implements galenalatch.Submitter.
+type Entry struct {
+	options Options
+	base    time.Time
+
+	mu      sync.Mutex
+	pending map[galenalatch.RequestID]*pending
+	running map[galenalatch.RequestID]*running
+	// serials holds, for each held request, the newest grant of each cell.
+	serials  map[galenalatch.RequestID]map[galenalatch.CellID]uint64
+	ended    map[endedKey]finished
+	leases   map[galenalatch.CellID]lease
+	changed  chan struct{}
+	reported map[galenalatch.CellID]reportedTo
+	unsent   []finished
+	units    map[unitsKey]float64
+}
+
+// New returns an entry. Run must be called for it to work.
+func New(o Options) *Entry {
+	if o.MaxWait == nil {
+		o.MaxWait = map[galenalatch.Class]time.Duration{
+			galenalatch.Interactive: time.Minute,
+			galenalatch.Batch:       15 * time.Minute,
+		}
+	}
+	if o.Observer == nil {
+		o.Observer = discard{}
+	}
+	return &Entry{
+		options:  o,
+		base:     time.Now(),
+		pending:  make(map[galenalatch.RequestID]*pending),
+		running:  make(map[galenalatch.RequestID]*running),
+		serials:  make(map[galenalatch.RequestID]map[galenalatch.CellID]uint64),
+		ended:    make(map[endedKey]finished),
+		leases:   make(map[galenalatch.CellID]lease),
+		changed:  make(chan struct{}),
+		reported: make(map[galenalatch.CellID]reportedTo),
+		units:    make(map[unitsKey]float64),
+	}
+}
+
+// Active returns the number of requests that the entry holds.
+func (e *Entry) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.serials)
+}
+
+// Counts returns the waiting and the running requests of each workspace.
+func (e *Entry) Counts() (waits, runs map[galenalatch.WorkspaceName]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	waits = make(map[galenalatch.WorkspaceName]int)
+	runs = make(map[galenalatch.WorkspaceName]int)
+	for _, p := range e.pending {
+		waits[p.request.Workspace]++
+	}
+	for _, r := range e.running {
+		runs[r.request.Workspace]++
+	}
+	return waits, runs
+}
+
+// Submit implements galenalatch.Submitter.
+func (e *Entry) Submit(ctx context.Context, r galenalatch.Request, s galenalatch.Sink) error {
+	started := time.Now()
+	e.hold(r)
+	defer e.unhold(r)
+	m := &meter{Sink: s, entry: e, request: r, started: started}
+	err := e.submit(ctx, r, m)
+	if ctx.Err() != nil && err != nil && galenalatch.KindOf(err) != galenalatch.KindWaitTimeout {
+		err = (&galenalatch.Error{Kind: galenalatch.KindCallerGone, Err: err}).WithOutcome(galenalatch.Cancelled)
+	}
+	e.options.Observer.Ended(r, time.Since(started), m.charged(), err)
+	return err
+}
+
+func (e *Entry) submit(ctx context.Context, r galenalatch.Request, m *meter) error {
+	if err := e.options.Fresh(); err != nil {
+		return err
+	}
+	pool, ok := e.options.Directory().Catalogue().Pool(r.Pool)
+	if !ok {
+		return galenalatch.KindNotFound.Errorf("pool %q is not in the catalogue", r.Pool)
+	}
+	t := &task{entry: e, request: r, pool: pool, meter: m}
+	err := t.run(ctx)
+	t.settleClaim(err)
+	return err
+}
+
+func (e *Entry) hold(r galenalatch.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.serials[r.ID] = make(map[galenalatch.CellID]uint64)
+}
+
+func (e *Entry) unhold(r galenalatch.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.serials, r.ID)
+}
+
+type discard struct{}
+
+func (discard) Granted(galenalatch.Request, time.Duration)             {}
+func (discard) FirstPiece(galenalatch.Request, time.Duration)          {}
+func (discard) Ended(galenalatch.Request, time.Duration, int64, error) {}
--- a/message.go
+++ b/message.go
@@ -82,6 +82,10 @@
 	Home CellID `cbor:"home"`
 	// Slot is the lent slot that the request uses, if any.
 	Slot string `cbor:"slot,omitempty"`
+	// ServerCell is the cell to which the server belongs.
+	ServerCell CellID `cbor:"serverCell"`
+	// Serial is the serial number of the grant.
+	Serial uint64 `cbor:"serial,omitempty"`
 }
 
 // Report tells a new holder of a cell what an entry has waiting in it and
@@ -107,8 +111,11 @@
 
 // Used is the cost so far of one running request.
 type Used struct {
-	Request RequestID `cbor:"request"`
+	// Request may be empty when Serial is set.
+	Request RequestID `cbor:"request,omitempty"`
 	Units   int64     `cbor:"units"`
+	// Serial is the serial number of the grant.
+	Serial uint64 `cbor:"serial,omitempty"`
 }
 
 // Progress carries the cost so far of the entry's running requests.
@@ -128,6 +135,9 @@
 	Failed bool `cbor:"failed"`
 	// Completed says that the server answered the request.
 	Completed bool `cbor:"completed"`
+	// Serial is the serial number of the grant that ends. Zero stands for
+	// the only grant of the request.
+	Serial uint64 `cbor:"serial,omitempty"`
 }
 
 // Grant lets an entry send one request to one backend server.
@@ -147,6 +157,13 @@
 	Slot string `cbor:"slot,omitempty"`
 	// Lapsed says that the holder could not renew its lease.
 	Lapsed bool `cbor:"lapsed"`
+	// Serial increases with every grant of the cell, also from one epoch to
+	// the next. An entry accepts a grant of a request only when its serial
+	// is higher than all those it has seen for this request and cell.
+	Serial uint64 `cbor:"serial,omitempty"`
+	// Ask asks what became of the grant and does not allow a start. An entry
+	// that does not run the grant answers with Finish.
+	Ask bool `cbor:"ask,omitempty"`
 }
 
 // Refuse tells an entry that a request will get no grant.
@@ -196,6 +213,12 @@
 	DataCentre DataCentre `cbor:"dataCentre"`
 	// TermMillis is how long the slot may wait for use.
 	TermMillis int64 `cbor:"termMillis"`
+	// ToEpoch is the epoch of the borrowing holder. Holders of other epochs
+	// must not use the slot.
+	ToEpoch Epoch `cbor:"toEpoch"`
+	// Ask asks what became of the slot and is no offer. A borrower that does
+	// not use the slot answers with GiveBack.
+	Ask bool `cbor:"ask,omitempty"`
 }
 
 // GiveBack returns a lent slot, used or not.
@@ -207,6 +230,8 @@
 	Used      bool   `cbor:"used"`
 	Failed    bool   `cbor:"failed"`
 	Completed bool   `cbor:"completed"`
+	// Assumed says that the borrower has no entry's word for the end.
+	Assumed bool `cbor:"assumed,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
