--- a/cmd/galenalatch/await_test.go
+++ b/cmd/galenalatch/await_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -130,21 +131,21 @@
 		if item, ok := x[name]; ok {
 			return value(item, rest)
 		}
-		return items(slices.Collect(valuesOf(x)), name, rest)
+		values := slices.Collect(maps.Values(x))
+		if name != "*" && name != "len" && !slices.ContainsFunc(values, notNumber) {
+			// A map from names to counts.
+			return 0, nil
+		}
+		return items(values, name, rest)
 	case []any:
 		return items(x, name, rest)
 	}
 	return 0, fmt.Errorf("%v is no number", v)
 }
 
-func valuesOf(m map[string]any) func(func(any) bool) {
-	return func(yield func(any) bool) {
-		for _, v := range m {
-			if !yield(v) {
-				return
-			}
-		}
-	}
+func notNumber(v any) bool {
+	_, ok := v.(float64)
+	return !ok
 }
 
 func items(list []any, name, rest string) (float64, error) {
--- a/cmd/galenalatch/control_test.go
+++ b/cmd/galenalatch/control_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -135,7 +136,9 @@
 	case strings.HasPrefix(token, "w"):
 		token = keyOf(galenalatch.WorkspaceName(token))
 	}
+	began := time.Now()
 	status, text, err := send(args[2], "http://"+address+args[3], token, body, args[min(6, len(args)):]...)
+	ts.Logf("%s took %v", args[3], time.Since(began).Round(time.Millisecond))
 	_, _ = fmt.Fprintf(ts.Stdout(), "%d %s\n", status, text)
 	return err
 }
