Send large reports of an entry in parts

Cause: the report of an entry with many waiting requests did not fit into a message of 256 KB, so a new dispatcher would never have got it.

--- a/internal/process/entry/entry_test.go
+++ b/internal/process/entry/entry_test.go
@@ -285,3 +285,27 @@
 		}
 	})
 }
+
+// Guards against reports that are too large for one message, and against
+// records that are lost between the parts.
+func TestReportParts(t *testing.T) {
+	for _, tc := range []struct{ waits, runs, parts int }{
+		{0, 0, 1}, {400, 0, 1}, {401, 0, 2}, {300, 500, 2}, {10, 1200, 4},
+	} {
+		all := galenalatch.Report{
+			Waiting: make([]galenalatch.Waiting, tc.waits),
+			Running: make([]galenalatch.Running, tc.runs),
+		}
+		list := parts(all)
+		assert.Equal(t, len(list), tc.parts)
+		waits, runs := 0, 0
+		for i, m := range list {
+			assert.Equal(t, m.More, i < len(list)-1)
+			assert.Assert(t, len(m.Waiting)+len(m.Running) <= maxRecords)
+			waits += len(m.Waiting)
+			runs += len(m.Running)
+		}
+		assert.Equal(t, waits, tc.waits)
+		assert.Equal(t, runs, tc.runs)
+	}
+}
--- a/internal/process/entry/report.go
+++ b/internal/process/entry/report.go
@@ -79,22 +79,48 @@
 	if !ok {
 		return
 	}
-	m := galenalatch.Report{Cell: c, Epoch: h.Epoch}
+	var all galenalatch.Report
 	for _, p := range e.pending {
 		if p.holder.Cell == c {
-			m.Waiting = append(m.Waiting, p.waiting(now))
+			all.Waiting = append(all.Waiting, p.waiting(now))
 		}
 	}
 	for _, r := range e.running {
 		if r.grant.Cell == c || r.grant.ServerCell == c {
-			m.Running = append(m.Running, r.report())
+			all.Running = append(all.Running, r.report())
 		}
 	}
-	if e.options.Send(h.Router, m) {
+	sent := true
+	for _, m := range parts(all) {
+		m.Cell, m.Epoch = c, h.Epoch
+		sent = sent && e.options.Send(h.Router, m)
+	}
+	if sent {
 		e.reported[c] = reportedTo{holder: h}
 	}
 }
 
+// maxRecords bounds the records of one part of a report. A record has at most
+// about 400 bytes, so a part stays below the 256 KB of a message.
+const maxRecords = 400
+
+// parts divides a report into messages. An empty report is one message.
+func parts(all galenalatch.Report) []galenalatch.Report {
+	var list []galenalatch.Report
+	for {
+		var m galenalatch.Report
+		n := min(maxRecords, len(all.Running))
+		m.Running, all.Running = all.Running[:n], all.Running[n:]
+		n = min(maxRecords-n, len(all.Waiting))
+		m.Waiting, all.Waiting = all.Waiting[:n], all.Waiting[n:]
+		m.More = len(all.Running)+len(all.Waiting) > 0
+		list = append(list, m)
+		if !m.More {
+			return list
+		}
+	}
+}
+
 func (e *Entry) placeAll(now time.Time) {
 	for _, p := range e.pending {
 		e.place(now, p)
