Accept reports without serial numbers and test the virtual time

Two running records without a serial number were taken for one grant. A cell that becomes busy starts at the lowest virtual time it hears, and a cell that was separated is at most MaxCatchUp behind.

--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -134,6 +134,32 @@
 	}
 }
 
+// Guards against a cell that earns credit while it is quiet or separated from
+// the other cells.
+func TestVirtualTimeFollowsPeers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		busy bool
+		want int64
+	}{{"quiet, then busy", false, 100000 + 2*10}, {"separated", true, 102000 - 64*100}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t)
+			ids := []string{"1", "2", "3", "4"}
+			if tc.busy {
+				enqueue(c, start, ids...)
+			}
+			c.Tick(start)
+			for i, vt := range []int64{102000, 100000} {
+				id := galenalatch.CellID{Pool: "m", DataCentre: galenalatch.DataCentre(fmt.Sprint("p", i))}
+				c.Handle(start, "x", galenalatch.Summary{Cell: id, Epoch: 1, VirtualTime: vt, Waiting: 1})
+			}
+			enqueue(c, start, ids...)
+			c.Tick(start)
+			assert.Equal(t, c.Status(start).VirtualTime, tc.want)
+		})
+	}
+}
+
 // Guards against a cell that keeps free slots while another cell of the pool
 // has waiting work, and against loans that are counted twice.
 func TestLoanGoesToNeediestCell(t *testing.T) {
--- a/internal/decide/cell/routers.go
+++ b/internal/decide/cell/routers.go
@@ -140,11 +140,11 @@
 // adopt records a running request of an entry's report. It may run on a slot
 // of this cell that was lent to another cell.
 func (c *Cell) adopt(now time.Time, from galenalatch.RouterID, n galenalatch.Running) {
-	if g := c.grants[n.Serial]; g != nil {
+	if g := c.find(n.Request, n.Serial); g != nil {
 		c.confirm(now, g, n.Units)
 		return
 	}
-	if _, over := c.ended[n.Serial]; over {
+	if _, over := c.ended[n.Serial]; over && n.Serial != 0 {
 		return
 	}
 	if n.Home != c.cfg.ID {
@@ -153,6 +153,10 @@
 		}
 		return
 	}
+	if n.Serial == 0 {
+		c.serial++
+		n.Serial = c.serial
+	}
 	q := c.requests[n.Request]
 	if q == nil {
 		q = &request{router: from}
