--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -99,6 +99,10 @@
 // that a late duplicate of a message does not revive them.
 const memory = 10 * time.Minute
 
+// maxIdle is the number of workspaces from which records of idle ones are
+// dropped: about 1 MB.
+const maxIdle = 2000
+
 // scanPeriod is the time between two looks for grants, loans and routers
 // whose waiting times have passed.
 const scanPeriod = 500 * time.Millisecond
@@ -342,6 +346,7 @@
 		return
 	}
 	c.nextForget = now.Add(memory / 10)
+	c.queue.Forget(maxIdle)
 	for k, t := range c.ended {
 		if now.Sub(t) > memory/5 {
 			delete(c.ended, k)
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -80,6 +80,19 @@
 	return slices.Sorted(maps.Keys(q.workspaces))
 }
 
+// Forget drops the records of idle workspaces whose counters are not above the
+// virtual time, when there are more than keep records. Such a workspace starts
+// at the virtual time with or without a record; only the averages of its costs
+// are lost.
+func (q *Queue) Forget(keep int) {
+	if len(q.workspaces) <= keep {
+		return
+	}
+	maps.DeleteFunc(q.workspaces, func(_ galenalatch.WorkspaceName, s *workspace) bool {
+		return s.running == 0 && s.waiting() == 0 && s.counter <= q.floor
+	})
+}
+
 // Waits reports whether the request waits in the queue.
 func (q *Queue) Waits(id galenalatch.RequestID) bool {
 	r := q.requests[id]
--- a/internal/decide/fairqueue/queue_test.go
+++ b/internal/decide/fairqueue/queue_test.go
@@ -92,6 +92,23 @@
 	assert.Equal(t, order(q, 1), "5 ")
 }
 
+// Guards against a table that grows with every workspace ever seen, and against
+// credit or debt that is lost with a record.
+func TestForget(t *testing.T) {
+	q := New(100)
+	add(t, q, "a", galenalatch.Interactive, "a1", "a2", "a3")
+	add(t, q, "b", galenalatch.Interactive, "b1")
+	q.Lift(5)
+	order(q, 2)
+	q.Remove("a2")
+	q.Remove("a3")
+	add(t, q, "c", galenalatch.Interactive, "c1", "c2", "c3")
+	order(q, 2)
+	q.Forget(0)
+	assert.Equal(t, len(q.Names()), 1)
+	assert.Equal(t, q.Counter("a"), q.VirtualTime())
+}
+
 // Guards against a gap beyond 2*Cmax*R between backlogged workspaces, and
 // against a ready count or virtual time that drifts from the queue.
 func TestGapWithinBound(t *testing.T) {
