--- a/internal/decide/cell/fuzz_test.go
+++ b/internal/decide/cell/fuzz_test.go
@@ -144,6 +144,20 @@
 	}
 }
 
+// setOut takes a server out of service or back in.
+func (f *fuzz) setOut(id galenalatch.ServerID, out bool) {
+	f.catalogue = f.catalogue.WithServer(id, out)
+	cat := f.catalogue
+	for _, n := range f.nodes {
+		n.do(func() {
+			for _, c := range sortedCells(n.cells) {
+				n.cells[c].cell.SetCatalogue(f.now, cat)
+				n.wake(n.cells[c])
+			}
+		})
+	}
+}
+
 // release hands a cell over to another router.
 func (f *fuzz) release(id galenalatch.CellID) {
 	r := f.rows[id]
@@ -193,6 +207,7 @@
 		n.cut = map[*node]bool{}
 		n.resume()
 	}
+	f.setOut("sa0", false)
 	f.run(12 * time.Second)
 	for i, a := range f.nodes {
 		for _, b := range f.nodes[i:] {
@@ -275,6 +290,7 @@
 				}
 			},
 			"flood": func(*rapid.T) { f.flood() },
+			"out":   func(*rapid.T) { f.setOut("sa0", len(f.catalogue.ServersOut) == 0) },
 			"release": func(t *rapid.T) {
 				f.release(rapid.SampledFrom([]galenalatch.CellID{cellA, cellB}).Draw(t, "cell"))
 			},
