Send whole catalogues to peers in parts, apply changes in place

Cause: a router that starts during an outage of the platform got nothing from its peers when the catalogue was larger than a message (11,000 workspaces). The test of this showed that a change copied and sorted all lists. Change: a whole catalogue is sent as parts that are changes to the empty catalogue; asking again gives the next parts, and parts of one version from several peers fit together. WithChange returns lists that do not change as they are.

--- a/change_apply.go
+++ b/change_apply.go
@@ -58,21 +58,32 @@
 	return m
 }
 
+// merge returns old with the put items and without the removed ones, sorted by
+// key. A list that does not change is returned as it is: most changes concern
+// one list, and the lists of a large fleet have 10,000 items.
 func merge[T any, K comparable](old, put []T, remove []K, key func(T) K, compare func(a, b K) int) []T {
-	m := byKey(old, key)
-	for _, k := range remove {
-		delete(m, k)
+	order := func(a, b T) int { return compare(key(a), key(b)) }
+	changed := byKey(put, key)
+	if len(changed) == 0 && len(remove) == 0 && slices.IsSortedFunc(old, order) {
+		return old
 	}
-	for _, v := range put {
-		m[key(v)] = v
+	removed := byKey(remove, self)
+	merged := make([]T, 0, len(old)+len(changed))
+	for _, v := range old {
+		k := key(v)
+		_, put := changed[k]
+		_, gone := removed[k]
+		if !put && !gone {
+			merged = append(merged, v)
+		}
 	}
-	if len(m) == 0 {
-		return nil
+	for _, v := range changed {
+		merged = append(merged, v)
 	}
-	merged := make([]T, 0, len(m))
-	for _, k := range slices.SortedFunc(maps.Keys(m), compare) {
-		merged = append(merged, m[k])
+	if len(merged) == 0 {
+		return nil
 	}
+	slices.SortFunc(merged, order)
 	return merged
 }
 
--- a/internal/platform/catalogue/peers.go
+++ b/internal/platform/catalogue/peers.go
@@ -8,10 +8,11 @@
 	"github.com/galenalatch/galenalatch"
 )
 
-// envelope is an encoded change, or a whole catalogue for a peer that is too
-// far behind.
+// envelope is an encoded change, or a part of a whole catalogue for a peer
+// that is too far behind. Parts count from 1.
 type envelope struct {
-	Snapshot *galenalatch.Catalogue `json:"snapshot,omitempty"`
+	Part  int `json:"part,omitempty"`
+	Parts int `json:"parts,omitempty"`
 	galenalatch.Change
 }
 
@@ -40,11 +41,18 @@
 	if err != nil {
 		return err
 	}
-	if e.Snapshot != nil {
-		s.putSnapshot(*e.Snapshot)
+	if e.Parts == 0 {
+		s.put(data, e.Change)
 		return nil
 	}
-	s.put(data, e.Change)
+	if e.Version > s.Current().Version {
+		s.mu.Lock()
+		c, complete := s.received.add(e)
+		s.mu.Unlock()
+		if complete {
+			s.putSnapshot(c)
+		}
+	}
 	return nil
 }
 
@@ -76,8 +84,7 @@
 
 // ChangesAfter returns the encoded changes after version v for a peer, up to
 // the size of a message. The peer asks again for more. A peer that is too far
-// behind gets the whole catalogue, or nothing when that is larger than a
-// message.
+// behind gets the whole catalogue, in parts if that is larger than a message.
 func (s *Store) ChangesAfter(v galenalatch.Version) [][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,11 +95,14 @@
 	if _, ok := s.log.at(v + 1); ok {
 		return s.log.after(v, maxChange)
 	}
-	data, err := json.Marshal(envelope{Snapshot: &c})
-	if err != nil || len(data) > maxChange {
-		return nil
+	if s.parts.version != c.Version {
+		ps, err := split(c)
+		if err != nil {
+			return nil
+		}
+		s.parts = ps
 	}
-	return [][]byte{data}
+	return s.parts.take(maxChange)
 }
 
 // History returns the newest n changes, newest first.
--- a/internal/platform/catalogue/store.go
+++ b/internal/platform/catalogue/store.go
@@ -44,6 +44,10 @@
 	current atomic.Pointer[galenalatch.Catalogue]
 	mu      sync.Mutex
 	log     changeLog
+	// parts are the parts of the current catalogue if a peer asked for them,
+	// received the parts that peers have sent.
+	parts    parts
+	received collection
 }
 
 // Option changes a Store.
--- a/internal/platform/catalogue/store_test.go
+++ b/internal/platform/catalogue/store_test.go
@@ -1,6 +1,7 @@
 package catalogue_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -184,6 +185,43 @@
 	assert.Equal(t, fresh.Current().Version, galenalatch.Version(122), "an older catalogue is ignored")
 }
 
+// TestParts guards against a router that starts during an outage of the
+// platform and cannot learn a catalogue larger than a message, or mixes the
+// parts of two versions.
+func TestParts(t *testing.T) {
+	server := platform.New()
+	a := open(t, server)
+	for i := range 15 {
+		var ch galenalatch.Change
+		for j := range 700 {
+			name := galenalatch.WorkspaceName(fmt.Sprint("w", i, "-", j))
+			ch.PutWorkspaces = append(ch.PutWorkspaces, galenalatch.Workspace{Name: name, KeyHashes: []string{strings.Repeat("a", 64)}})
+			ch.PutEntries = append(ch.PutEntries, galenalatch.Entry{Workspace: name, Class: galenalatch.Batch})
+		}
+		_, err := a.Apply(t.Context(), galenalatch.Version(i), ch)
+		assert.NilError(t, err)
+	}
+	grow(t, a, 100)
+	b := open(t, server)
+	_, _, err := b.Confirm(t.Context())
+	assert.NilError(t, err)
+
+	s := open(t, server)
+	_, err = s.Learn(b.ChangesAfter(0))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Current().Version, galenalatch.Version(0))
+	grow(t, b, 1)
+	asks := 0
+	for ; s.Current().Version == 0; asks++ {
+		changes := b.ChangesAfter(0)
+		assert.Assert(t, len(bytes.Join(changes, nil)) <= 192<<10)
+		_, err = s.Learn(changes)
+		assert.NilError(t, err)
+		assert.Assert(t, asks < 50)
+	}
+	assert.DeepEqual(t, s.Current(), b.Current())
+}
+
 // TestOlderHead guards against a confirmation by a table that has lost
 // accepted versions.
 func TestOlderHead(t *testing.T) {
