Derive changes of the lists of routers

The catalogue's lists have to follow the instance list, one accepted step after the other. ListChange says when this router should propose such a change, and applying a change keeps the list before it. Going back to an older configuration leaves the lists alone.

--- a/change_apply.go
+++ b/change_apply.go
@@ -24,11 +24,15 @@
 	if ch.DefaultLimits != nil {
 		c.DefaultLimits = *ch.DefaultLimits
 	}
+	if r := merge(c.Routers, ch.PutRouters, ch.RemoveRouters, self, cmp.Compare); !slices.Equal(r, c.Routers) {
+		c.Routers, c.PreviousRouters = r, c.Routers
+	}
 	return c
 }
 
 // Diff returns the change that turns from into to. It carries the version of
-// to, and neither id nor author.
+// to, and neither id nor author. It leaves the routers alone: going back to
+// an older configuration must not bring back an older list of routers.
 func Diff(from, to Catalogue) Change {
 	ch := Change{Version: to.Version}
 	ch.PutPools, ch.RemovePools = diff(from.Pools, to.Pools, poolKey, cmp.Compare)
--- a/change_apply_test.go
+++ b/change_apply_test.go
@@ -52,3 +52,16 @@
 	c := Catalogue{Version: 4, Pools: []Pool{{Name: "p", Models: []string{"m"}}}, OutOfService: []DataCentre{"a"}}
 	assert.Check(t, cmp.DeepEqual(Diff(c, c), Change{Version: 4}))
 }
+
+// Guards against a change of the routers that loses the list before it, which
+// acceptance needs, and against a rollback that brings back an older list.
+func TestChangeOfRouters(t *testing.T) {
+	c := Catalogue{}.WithChange(Change{Version: 1, PutRouters: []RouterID{"b", "a"}})
+	assert.DeepEqual(t, c.Routers, []RouterID{"a", "b"})
+	next := c.WithChange(Change{Version: 2, PutRouters: []RouterID{"c"}, RemoveRouters: []RouterID{"a"}})
+	next = next.WithChange(Change{Version: 3, PutOut: []DataCentre{"d"}})
+	assert.DeepEqual(t, next.Routers, []RouterID{"b", "c"})
+	assert.DeepEqual(t, next.PreviousRouters, []RouterID{"a", "b"})
+	back := Diff(next, c)
+	assert.Equal(t, len(back.PutRouters)+len(back.RemoveRouters), 0)
+}
--- a/internal/decide/freshness/view.go
+++ b/internal/decide/freshness/view.go
@@ -190,6 +190,7 @@
 	asked     map[int64]question
 	watched   galenalatch.Version
 	watchEnd  time.Time
+	proposed  proposal
 	cells     holders
 	near      neighbours
 }
--- a/internal/decide/freshness/view_test.go
+++ b/internal/decide/freshness/view_test.go
@@ -108,6 +108,38 @@
 	assert.Assert(t, m.routers["r0"].MayChangeLists(m.now))
 }
 
+// Guards against lists that follow each passing change of the instance list,
+// are changed by all routers at once, or before the held version is accepted.
+func TestListChange(t *testing.T) {
+	m := newModel(1, 4, 3)
+	r0, r1 := m.routers["r0"], m.routers["r1"]
+	propose := func(v *View) int {
+		v.Read(m.now, v.Held())
+		put, remove := v.ListChange(m.now)
+		return len(put) + 10*len(remove)
+	}
+	r0.SetListed(m.names[1:])
+	assert.Equal(t, propose(r0), 0)
+	r0.SetListed(m.names)
+	assert.Equal(t, propose(r0)+propose(r1), 0)
+	m.now = m.now.Add(listSettle)
+	assert.Equal(t, propose(r0), 0, "version 1 is not accepted yet")
+	m.exchange("r0", "r1")
+	m.exchange("r1", "r0")
+	assert.Equal(t, propose(r0), 1)
+	assert.Equal(t, propose(r1), 0)
+
+	m.lists = append(m.lists, Lists{Current: m.names, Previous: m.lists[1].Current})
+	m.apply(2, "r0")
+	r1.Read(m.now, 2)
+	m.now = m.now.Add(listRank)
+	_, remove := r1.ListChange(m.now)
+	assert.Equal(t, len(remove), 0)
+	assert.Equal(t, propose(r0), 0)
+	put, _ := r1.ListChange(m.now)
+	assert.Equal(t, len(put), 0, "r1 knows that it is behind")
+}
+
 // Guards against more reads than the table allows, and against a router
 // that does not read while nobody confirms its catalogue.
 func TestReadInterval(t *testing.T) {
--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -318,12 +318,13 @@
 	return e.view.Versions()
 }
 
-// MayChangeLists reports whether a change of the held version may change the
-// lists of routers.
-func (e *Exchange) MayChangeLists() bool {
+// ListChange returns the routers that this router should put into and remove
+// from the catalogue's list by a change that is applied to exactly the held
+// version, or none. It is asked about once a second.
+func (e *Exchange) ListChange() (put, remove []galenalatch.RouterID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.view.MayChangeLists(time.Now())
+	return e.view.ListChange(time.Now())
 }
 
 // Watch makes the next rounds ask the routers that are not known to hold
