warmup: send no new work to a server that reports that it leaves

Cause: the load report carries the server's own announcement, but the table ignored it and knew only the instance list, which lags. Ruled out: the frozen list itself (a server that leaves by the list got nothing after 3 s) and work granted before the announcement (the requests came more than 3 s after it). Change: an announced server is not usable and has the state leaving; when it withdraws the announcement it is cold. Before: with a frozen instance list a leaving engine got 20 new requests in the fourth second after its announcement.

--- a/internal/decide/warmup/server.go
+++ b/internal/decide/warmup/server.go
@@ -44,7 +44,9 @@
 	dataCentre galenalatch.DataCentre
 	listed     bool
 	leaving    bool
-	out        bool
+	// announced says that the server itself reported that it leaves.
+	announced bool
+	out       bool
 	boot       galenalatch.BootID
 	// generation counts the cold starts, so that a request granted before a
 	// cold start does not raise the limit after it.
@@ -87,6 +89,10 @@
 		s.chill()
 	}
 	s.sampled, s.received = sampled, now
+	if s.announced && !l.Leaving {
+		s.chill()
+	}
+	s.announced = l.Leaving
 	if l.Boot != s.boot {
 		if s.boot != "" {
 			s.chill()
@@ -207,7 +213,7 @@
 
 // usable reports whether the server may be sent work at all.
 func (s *server) usable(now time.Time) bool {
-	return s.listed && !s.leaving && !s.out && s.boot != "" &&
+	return s.listed && !s.leaving && !s.announced && !s.out && s.boot != "" &&
 		now.Sub(s.received) <= s.table.tuning.SilenceLimit && !s.sampled.Before(s.awaitReport)
 }
 
@@ -241,7 +247,7 @@
 		switch {
 		case !s.listed || s.out:
 			state = Out
-		case s.leaving:
+		case s.leaving, s.announced:
 			state = Leaving
 		case !s.received.IsZero() && now.Sub(s.received) > t.tuning.SilenceLimit:
 			state = Suspect
