--- a/internal/decide/warmup/server.go
+++ b/internal/decide/warmup/server.go
@@ -47,7 +47,7 @@
 	// announced says that the server itself reported that it leaves.
 	announced bool
 	out       bool
-	boot       galenalatch.BootID
+	boot      galenalatch.BootID
 	// generation counts the cold starts, so that a request granted before a
 	// cold start does not raise the limit after it.
 	generation int
