cmd/galenalatch: scenarios for at most once, out and in, drain and operators' races

Cause: these promises were tested only inside one process. Change: four scripts with commands for races of operators, routers killed at random, and the absence of new work.

--- a/cmd/galenalatch/await_test.go
+++ b/cmd/galenalatch/await_test.go
@@ -114,7 +114,8 @@
 }
 
 // value follows a path of names separated by dots. The name * adds up the
-// values of all items; len counts the items.
+// values of all items, field=value those of the items with this field; len
+// counts the items. A text has the value 1 when the path ends with it.
 func value(v any, path string) (float64, error) {
 	name, rest, _ := strings.Cut(path, ".")
 	switch x := v.(type) {
@@ -125,6 +126,8 @@
 			return 1, nil
 		}
 		return 0, nil
+	case string:
+		return value(x == path, "")
 	case float64:
 		return x, nil
 	case map[string]any:
@@ -149,6 +152,14 @@
 }
 
 func items(list []any, name, rest string) (float64, error) {
+	field, want, filtered := strings.Cut(name, "=")
+	if filtered {
+		list = slices.DeleteFunc(slices.Clone(list), func(v any) bool {
+			m, ok := v.(map[string]any)
+			return !ok || m[field] != want
+		})
+		name = "*"
+	}
 	switch name {
 	case "len":
 		return float64(len(list)), nil
--- a/cmd/galenalatch/scenario_test.go
+++ b/cmd/galenalatch/scenario_test.go
@@ -14,6 +14,8 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/galenalatch/galenalatch"
 )
 
 func TestMain(m *testing.M) {
@@ -61,6 +63,9 @@
 			"instance": scriptCommand((*scenario).instance),
 			"request":  scriptCommand((*scenario).request),
 			"chat":     scriptCommand((*scenario).chat),
+			"race":     scriptCommand((*scenario).race),
+			"churn":    scriptCommand((*scenario).churn),
+			"nonew":    scriptCommand((*scenario).nonew),
 			"load":     scriptCommand((*scenario).load),
 			"verdict":  scriptCommand((*scenario).verdict),
 		},
@@ -81,6 +86,8 @@
 	dir       string
 	fleet     fleet
 	processes map[string]*process
+	// won holds the workspaces that operators' changes have added.
+	won []galenalatch.WorkspaceName
 }
 
 // scriptCommand makes a script command of a method. A command that is expected to
