Repeat a report until the new holder confirms it

Cause: a holder publishes its lease before its cell is open, so reports of fast entries were dropped and never sent again; the cell then waited for them until its limit (2 s after an expiry, 4 s after a release) before it granted anything. Ruled out: lost connections, the lease store. TestReportIsRepeatedUntilConfirmed fails without the repetition.

--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -333,7 +333,7 @@
 }
 
 func (c *Cell) leaseAsked(now time.Time, from galenalatch.RouterID, m galenalatch.LeaseAsk) {
-	s := galenalatch.LeaseState{Cell: c.cfg.ID, Epoch: c.cfg.Epoch, Echo: m.Stamp}
+	s := galenalatch.LeaseState{Cell: c.cfg.ID, Epoch: c.cfg.Epoch, Echo: m.Stamp, Reported: c.router(from).reported}
 	if !c.stopped {
 		s.RemainingMillis = max(0, c.leaseExpires.Sub(now).Milliseconds())
 		s.Lapsed = c.lapsed
--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -69,6 +69,7 @@
 	pollers map[galenalatch.ServerID]poller
 	status  chan chan []cell.Status
 	stop    chan chan []galenalatch.Handover
+	wake    chan struct{}
 	// handovers are kept for cells whose lease is not yet held.
 	handovers map[galenalatch.CellID]handover
 	stopped   bool
@@ -124,6 +125,7 @@
 		pollers: make(map[galenalatch.ServerID]poller),
 		status:  make(chan chan []cell.Status),
 		stop:    make(chan chan []galenalatch.Handover),
+		wake:    make(chan struct{}, 1),
 
 		handovers: make(map[galenalatch.CellID]handover),
 	}
@@ -181,6 +183,14 @@
 	}
 }
 
+// Wake makes the host look at the leases at once.
+func (h *Host) Wake() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run runs the cells until the context ends.
 func (h *Host) Run(ctx context.Context) error {
 	return h.loop(ctx)
@@ -204,6 +214,8 @@
 			reply <- h.states()
 		case reply := <-h.stop:
 			reply <- h.stopAll()
+		case <-h.wake:
+			h.refresh(ctx, time.Now())
 		case <-refresh.C:
 			h.refresh(ctx, time.Now())
 		case <-observe.C:
--- a/internal/process/entry/entry_test.go
+++ b/internal/process/entry/entry_test.go
@@ -33,6 +33,8 @@
 	out      bool
 	stale    bool
 	finishes []galenalatch.Finish
+	reports  int
+	confirm  bool
 	runs     int
 	claims   fakeClaims
 }
@@ -83,7 +85,7 @@
 	defer b.mu.Unlock()
 	switch m := m.(type) {
 	case galenalatch.LeaseAsk:
-		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.epoch, Echo: m.Stamp, RemainingMillis: b.remain}
+		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.epoch, Echo: m.Stamp, RemainingMillis: b.remain, Reported: b.confirm}
 		time.AfterFunc(time.Millisecond, func() { b.entry.Handle("d", s) })
 	case galenalatch.Enqueue:
 		if b.grant == nil {
@@ -94,6 +96,8 @@
 			DataCentre: "a", Boot: "b1", ServerCell: cell, ServerEpoch: 1}
 		b.grant(&g)
 		time.AfterFunc(2*time.Millisecond, func() { b.entry.Handle("d", g) })
+	case galenalatch.Report:
+		b.reports++
 	case galenalatch.Finish:
 		b.finishes = append(b.finishes, m)
 	}
@@ -309,3 +313,22 @@
 		assert.Equal(t, runs, tc.runs)
 	}
 }
+
+// Guards against a report that is lost because its holder had not opened the
+// cell yet: the holder would wait for it in vain.
+func TestReportIsRepeatedUntilConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = b.entry.Run(ctx) }()
+		<-time.After(1250 * time.Millisecond)
+		b.mu.Lock()
+		assert.Equal(t, b.reports, 3)
+		b.confirm = true
+		b.mu.Unlock()
+		<-time.After(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, b.reports, 4)
+	})
+}
--- a/internal/process/entry/grant.go
+++ b/internal/process/entry/grant.go
@@ -106,6 +106,10 @@
 		l.epoch, l.until = m.Epoch, until
 	}
 	e.leases[m.Cell] = l
+	if t := e.reported[m.Cell]; t.holder.Epoch == m.Epoch && m.Reported {
+		t.confirmed = true
+		e.reported[m.Cell] = t
+	}
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
--- a/internal/process/entry/report.go
+++ b/internal/process/entry/report.go
@@ -14,9 +14,15 @@
 	progressEvery = time.Second
 )
 
-// reportedTo is the holder that has the entry's report of a cell.
+// reportAgain is the time after which a report that its holder has not
+// confirmed is sent again.
+const reportAgain = 500 * time.Millisecond
+
+// reportedTo is the holder to which the entry's report of a cell was sent.
 type reportedTo struct {
-	holder galenalatch.Holder
+	holder    galenalatch.Holder
+	sent      time.Time
+	confirmed bool
 }
 
 // Run moves waiting requests to their homes and reports to dispatchers until
@@ -62,11 +68,17 @@
 }
 
 // reportNew sends a report to each holder that does not have one, even an
-// empty one: a new holder waits for the reports of all routers.
+// empty one: a new holder waits for the reports of all routers. A report that
+// arrives before the holder has opened its cell is lost, hence the repetition
+// until the holder confirms it.
 func (e *Entry) reportNew(now time.Time) {
 	for _, c := range e.options.Directory().AllCells() {
 		h, ok := e.options.Holder(c)
-		if !ok || e.reported[c].holder == h {
+		if !ok {
+			continue
+		}
+		t := e.reported[c]
+		if t.holder == h && (t.confirmed || now.Sub(t.sent) < reportAgain) {
 			continue
 		}
 		e.report(now, c)
@@ -96,7 +108,8 @@
 		sent = sent && e.options.Send(h.Router, m)
 	}
 	if sent {
-		e.reported[c] = reportedTo{holder: h}
+		e.reported[c] = reportedTo{holder: h, sent: now}
+		e.options.Send(h.Router, galenalatch.LeaseAsk{Cell: c, Stamp: int64(now.Sub(e.base))})
 	}
 }
 
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -84,6 +84,8 @@
 }
 
 func (r *Router) onLease(c galenalatch.CellID, s leases.State) {
+	// The cell is opened before others hear of its holder.
+	r.host.Wake()
 	if h, ok := r.rowHolder(c, s); ok {
 		r.gossip.SetHolder(h)
 	}
--- a/message.go
+++ b/message.go
@@ -191,6 +191,8 @@
 	Echo            int64  `cbor:"echo"`
 	RemainingMillis int64  `cbor:"remainingMillis"`
 	Lapsed          bool   `cbor:"lapsed"`
+	// Reported says that the holder has the asker's report.
+	Reported bool `cbor:"reported,omitempty"`
 }
 
 // Summary is the state of a cell for the other cells of its pool.
