Let borrowers confirm slots on servers that warm up

Cause: the lender could not tell a request on a lent slot from an unknown one, counted both while the server was not warm, and so used half of its limit.

--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -214,6 +214,7 @@
 		g.serverCell = o.key.lender
 		g.message.ServerCell, g.message.ServerEpoch, g.message.Slot = o.key.lender, o.epoch, o.key.slot
 		o.become(used, now)
+		o.grant = g
 	} else {
 		c.servers.Start(now, g.serial, t.Server, t.Boot)
 	}
--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -40,6 +40,8 @@
 	message galenalatch.Lend
 	probe   time.Time
 	tries   int
+	// confirmed says that the borrower's entry runs a request on the slot.
+	confirmed bool
 }
 
 // slotKey names a borrowed slot.
@@ -65,6 +67,8 @@
 	changed time.Time
 	expires time.Time
 	answer  galenalatch.GiveBack
+	// grant is the grant that uses the slot.
+	grant *grant
 	// restored says that the slot is known from an entry's report only.
 	restored bool
 }
@@ -144,6 +148,9 @@
 		},
 		probe: now.Add(c.cfg.LoanTerm + c.cfg.ConfirmWait),
 	}
+	if !c.servers.IsWarm(t.Server) {
+		l.probe = now.Add(confirmLoan)
+	}
 	c.loans[slot] = l
 	c.servers.Start(now, l.key, t.Server, t.Boot)
 	p.waiting--
@@ -165,10 +172,15 @@
 // no longer listed ends: two minutes.
 const lostTries = 3
 
+// confirmLoan is how long after a loan on a server that is not warm the
+// borrower is asked. Entries confirm a grant within a second. Without a
+// confirmation the request counts twice, as lent and as unknown, and the
+// server warms up more slowly.
+const confirmLoan = 1500 * time.Millisecond
+
 // loanAskPeriod is the time between questions about a loan after the first
-// one. A borrower does not answer while it uses the slot, and most requests
-// are still running when their term has ended, so frequent questions cost
-// more than the rare loss of an answer. After a new connection to the holder
+// one. Most requests are still running when the term of their slot has ended,
+// so frequent questions cost more than the rare loss of an answer. After a new connection to the holder
 // of the borrowing cell, or a new holder, the question comes early.
 const loanAskPeriod = time.Minute
 
@@ -192,6 +204,9 @@
 			continue
 		}
 		l.probe = now.Add(loanAskPeriod)
+		if !l.confirmed && !c.servers.IsWarm(l.message.Server) {
+			l.probe = now.Add(c.cfg.ConfirmWait)
+		}
 		l.tries++
 		if p == nil {
 			continue
@@ -219,6 +234,11 @@
 	if l == nil || l.to != m.From {
 		return
 	}
+	if m.InUse {
+		l.confirmed = true
+		c.servers.Confirm(now, l.key)
+		return
+	}
 	delete(c.loans, m.Slot)
 	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: m.Assumed})
 	if p := c.peers[m.From]; p != nil && !m.Used {
@@ -235,8 +255,11 @@
 	p.meet(from, m.Epoch)
 	o := c.borrowed[k]
 	if o != nil {
-		if o.state == returned {
+		switch {
+		case o.state == returned:
 			c.send(from, o.answer)
+		case m.Ask && o.grant != nil && o.grant.confirmed:
+			c.send(from, galenalatch.GiveBack{From: c.cfg.ID, To: k.lender, Slot: k.slot, InUse: true})
 		}
 		return
 	}
--- a/internal/decide/cell/routers.go
+++ b/internal/decide/cell/routers.go
@@ -169,6 +169,7 @@
 	}
 	if n.Slot != "" {
 		g.offer = c.restoreOffer(now, n)
+		g.offer.grant = g
 	} else {
 		c.servers.Start(now, n.Serial, n.Server, n.Boot)
 	}
--- a/internal/decide/warmup/servers.go
+++ b/internal/decide/warmup/servers.go
@@ -211,6 +211,12 @@
 	return t.servers[id] != nil
 }
 
+// IsWarm reports whether the server has reached the warm limit.
+func (t *Servers) IsWarm(id galenalatch.ServerID) bool {
+	s := t.servers[id]
+	return s != nil && s.state() == Warm
+}
+
 // Confirm records that the request with the key was sent to its server.
 func (t *Servers) Confirm(now time.Time, key uint64) {
 	if p := t.slots[key]; p != nil && p.confirmed.IsZero() {
--- a/message.go
+++ b/message.go
@@ -208,8 +208,8 @@
 	// ToEpoch is the epoch of the borrowing holder. Holders of other epochs
 	// must not use the slot.
 	ToEpoch Epoch `cbor:"toEpoch"`
-	// Ask asks what became of the slot and is no offer. A borrower that does
-	// not use the slot answers with GiveBack.
+	// Ask asks what became of the slot and is no offer. The borrower answers
+	// with GiveBack.
 	Ask bool `cbor:"ask,omitempty"`
 }
 
@@ -224,6 +224,9 @@
 	Completed bool   `cbor:"completed"`
 	// Assumed says that the borrower has no entry's word for the end.
 	Assumed bool `cbor:"assumed,omitempty"`
+	// InUse answers a question: the slot is not returned, and an entry has
+	// confirmed that a request runs on it.
+	InUse bool `cbor:"inUse,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
