--- a/internal/platform/leases/store.go
+++ b/internal/platform/leases/store.go
@@ -71,7 +71,8 @@
 type Option func(*Store)
 
 // WithNotify sets a function that Run calls when the state of a cell has
-// changed in more than its end.
+// changed in more than its end. While the platform hangs, it is called up to
+// two timeouts late; State is exact at any time.
 func WithNotify(f func(galenalatch.CellID, State)) Option {
 	return func(s *Store) { s.notify = f }
 }
