--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -122,6 +122,10 @@
 // SetRank sets the place among the candidates, from 0. A negative rank makes
 // the router no candidate; it keeps a lease that it holds.
 func (l *Lease) SetRank(rank int) {
+	if l.rank < 0 && rank >= 0 {
+		// The rare reads of a router that is no candidate end.
+		l.nextRead = time.Time{}
+	}
 	l.rank = rank
 }
 
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -115,6 +115,11 @@
 	assert.Equal(t, a.Epoch(), galenalatch.Epoch(0))
 	b.Confirm(1)
 	assert.Assert(t, !b.Unconfirmed(at(5*second)))
+
+	c := newRouter(table, "c", -1)
+	c.drive(5*second, 8*second, nil)
+	c.SetRank(0)
+	assert.Assert(t, c.step(at(8*second), false, nil).Read, "a new candidate reads at once")
 }
 
 // TestReadBack guards against a holder that loses its lease, or counts it
