backend/engine: let the engine notice the cancel in TestHang

The test cleared the hang before the engine had seen the closed connection in 3 of 15 processes under the race detector, and the run completed. Over the network in memory the client does not wait for the server.

--- a/internal/backend/engine/time_test.go
+++ b/internal/backend/engine/time_test.go
@@ -63,11 +63,12 @@
 			assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
 			assert.Equal(t, time.Since(began), 7*time.Second)
 			assert.Equal(t, r.heads, 0)
+			// The engine notices the cancel before it goes on.
+			synctest.Wait()
 			s.SetFailures(process.Failures{})
 			_, err = c.Run(t.Context(), order("a:1", s.Boot(), "2", "a", 5, stream), &recorder{})
 			assert.NilError(t, err)
 		}
-		synctest.Wait()
 		assert.Equal(t, s.Stats().Cancels, 2)
 		assert.Equal(t, s.Stats().Running, 0)
 	})
