--- a/internal/peer/gossip/link_bench_test.go
+++ b/internal/peer/gossip/link_bench_test.go
@@ -26,6 +26,7 @@
 	mesh     *link.Mesh
 	exchange *Exchange
 	held     atomic.Uint64
+	cut      atomic.Bool
 }
 
 // ChangesAfter implements Changes with one change of a typical size.
@@ -78,7 +79,7 @@
 				return d.mesh.Send(to, change(d.exchange, m))
 			},
 			Head: func(context.Context) (galenalatch.Version, error) {
-				if down.Load() {
+				if down.Load() || d.cut.Load() {
 					return 0, galenalatch.KindPlatformDown.Errorf("down")
 				}
 				return galenalatch.Version(head.Load()), nil
@@ -208,11 +209,57 @@
 			start := time.Now()
 			nodes[0].apply(2)
 			for _, d := range nodes {
-				for d.held.Load() < 2 {
-					<-time.After(time.Millisecond)
-				}
+				until(func() bool { return d.held.Load() == 2 })
 			}
 			b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/change")
+			nodes[0].exchange.Watch(2)
+			until(func() bool {
+				held, total := nodes[0].exchange.Accepted(2)
+				return 2*held > total
+			})
+			b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/accepted")
 		})
 	}
 }
+
+// until waits for a condition.
+func until(met func() bool) {
+	for !met() {
+		<-time.After(time.Millisecond)
+	}
+}
+
+// BenchmarkCut measures how long a router that is cut off from the platform
+// and all routers goes on, and how long it takes to serve again.
+func BenchmarkCut(b *testing.B) {
+	var down atomic.Bool
+	nodes := startNodes(b, 8, true, &down, same)
+	fresh := func() bool {
+		ok, _ := nodes[7].exchange.Fresh()
+		return ok
+	}
+	cut := func(on bool) {
+		nodes[7].cut.Store(on)
+		for i, id := range benchIDs(7) {
+			nodes[i].mesh.Block("router-0007", on)
+			nodes[7].mesh.Block(id, on)
+		}
+	}
+	var stale, back time.Duration
+	for b.Loop() {
+		until(fresh)
+		<-time.After(3 * time.Second)
+		start := time.Now()
+		cut(true)
+		until(func() bool { return !fresh() })
+		stale = max(stale, time.Since(start))
+		// The links count as down before they are restored.
+		<-time.After(4 * time.Second)
+		start = time.Now()
+		cut(false)
+		until(fresh)
+		back = max(back, time.Since(start))
+	}
+	b.ReportMetric(float64(stale.Milliseconds()), "ms/stale-most")
+	b.ReportMetric(float64(back.Milliseconds()), "ms/fresh-most")
+}
