--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -30,6 +30,9 @@
 	// maxChanges bounds the changes in one message, below the limit of the
 	// codec with room for the heads of the changes.
 	maxChanges = 250 << 10
+	// newsInterval is the shortest time between rounds when the router
+	// learned a version. It bounds the rounds while many are applied.
+	newsInterval = 50 * time.Millisecond
 )
 
 // Changes holds the changes of the catalogue that the router has applied.
@@ -76,6 +79,9 @@
 	view    *freshness.View
 	rand    *rand.Rand
 	fetched time.Time
+	// asked is when the last round began, and told the version it carried.
+	asked time.Time
+	told  galenalatch.Version
 }
 
 // New returns an exchange for a process that starts now.
@@ -139,15 +145,24 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.wake:
+			e.ask(newsInterval)
 		case <-round.C:
-			e.ask()
+			e.ask(0)
 		}
 	}
 }
 
-func (e *Exchange) ask() {
+// ask asks the partners of a round. With a minimum of time since the last
+// round it does so only when the router holds a newer version than then, so
+// that a change does not wait for the next round at each hop.
+func (e *Exchange) ask(least time.Duration) {
 	e.mu.Lock()
 	now := time.Now()
+	if least > 0 && (e.view.Held() == e.told || now.Sub(e.asked) < least) {
+		e.mu.Unlock()
+		return
+	}
+	e.asked, e.told = now, e.view.Held()
 	var out []galenalatch.Outgoing
 	for _, r := range e.view.Partners(now, e.rand) {
 		out = append(out, galenalatch.Outgoing{To: r, Message: e.view.Ask(now, r)})
