router: add a debug listener that cuts links with other routers

Cause: a partition of routers that the platform still reaches could be tested only inside one process.

--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -48,6 +49,12 @@
 		Operator secret.Secret `json:"operator"`
 	} `json:"tokens"`
 
+	// Debug is for tests: it serves switches that cut the router off from
+	// others. It is off without an address, which must be a loopback one.
+	Debug struct {
+		Listen string `json:"listen,omitempty" validate:"omitempty,addrport"`
+	} `json:"debug,omitzero"`
+
 	// Lease holds the times of the cell leases. All routers of a fleet must
 	// use the same values: a candidate waits for Duration and Margin of its
 	// own settings.
@@ -138,7 +145,7 @@
 func (s Settings) Check() error {
 	faults, _ := checker.Faults(s, maxFaults)
 	if len(faults) == 0 {
-		faults = append(s.listenFaults(), s.leaseFaults()...)
+		faults = slices.Concat(s.listenFaults(), s.leaseFaults(), s.debugFaults())
 	}
 	if len(faults) == 0 {
 		return nil
@@ -168,6 +175,16 @@
 	return faults
 }
 
+// debugFaults keeps the switches for tests away from the network and from the
+// listeners that serve others.
+func (s Settings) debugFaults() []string {
+	a := s.Debug.Listen
+	if a == "" || netip.MustParseAddrPort(a).Addr().IsLoopback() && a != s.Listen.Caller && a != s.Listen.Peer && a != s.Listen.Operator {
+		return nil
+	}
+	return []string{fmt.Sprintf("debug.listen: %q is not allowed; allowed: nothing, or a loopback address of its own", a)}
+}
+
 // leaseFaults requires time for two renewals before the lease ends, so that
 // one lost write does not end a lease.
 func (s Settings) leaseFaults() []string {
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -53,6 +53,8 @@
 		{"renewal too late", with(`"lease": {"renew": "2s"}`)},
 		{"host name", with(`"listen": {"caller": "localhost:8080"}`)},
 		{"overlapping addresses", with(`"listen": {"caller": "0.0.0.0:8080", "peer": "127.0.0.1:8080"}`)},
+		{"debug on the network", with(`"debug": {"listen": "0.0.0.0:9000"}`)},
+		{"debug on a listener of others", with(`"listen": {"caller": "127.0.0.1:1"}, "debug": {"listen": "127.0.0.1:1"}`)},
 		{"long id", strings.Replace(good, `"r1"`, `"`+strings.Repeat("r", 65)+`"`, 1)},
 		{"platform without scheme", strings.Replace(good, `http://`, ``, 1)},
 		{"no token", strings.Replace(good, `{"env": "P"}`, `{}`, 1)},
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -245,6 +245,9 @@
 	r.listener.Handle(a.Peer, "/peer", r.mesh.Handler())
 	r.listener.Handle(a.Operator, "/operator/v1/", verbs)
 	r.listener.Handle(a.Operator, "/metrics", r.metrics.Handler())
+	if d := r.settings.Debug.Listen; d != "" {
+		r.listener.Handle(d, "PUT /debug/links/{router}", r.debugHandler(auth.Token(operator)))
+	}
 	return nil
 }
 
