--- a/cmd/galenalatch/control_test.go
+++ b/cmd/galenalatch/control_test.go
@@ -142,3 +142,37 @@
 	_, _ = fmt.Fprintf(ts.Stdout(), "%d %s\n", status, text)
 	return err
 }
+
+// cut parts the routers of two lists, or joins them again:
+// cut on|off PATTERN[,PATTERN]... PATTERN[,PATTERN]...
+func (s *scenario) cut(_ *testscript.TestScript, args []string) error {
+	if len(args) != 3 {
+		return errors.New("usage: cut on|off patterns patterns")
+	}
+	left, err := s.names(strings.Split(args[1], ",")...)
+	if err != nil {
+		return err
+	}
+	right, err := s.names(strings.Split(args[2], ",")...)
+	if err != nil {
+		return err
+	}
+	for _, a := range left {
+		for _, b := range right {
+			if err := errors.Join(s.block(a, b, args[0] == "on"), s.block(b, a, args[0] == "on")); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *scenario) block(at, other string, blocked bool) error {
+	r, err := s.router(at)
+	if err != nil || at == other {
+		return err
+	}
+	url := fmt.Sprintf("http://%s/debug/links/%s?blocked=%t", r.Debug.Listen, other, blocked)
+	_, _, err = send(http.MethodPut, url, tokens["GALENALATCH_OPERATOR_TOKEN"], nil)
+	return err
+}
--- a/cmd/galenalatch/fleet_test.go
+++ b/cmd/galenalatch/fleet_test.go
@@ -125,7 +125,7 @@
 		r := settings.Default()
 		r.ID = galenalatch.RouterID(fmt.Sprintf("router-%d", i+1))
 		r.DataCentre = dataCentres[i%len(dataCentres)]
-		for _, a := range []*string{&r.Listen.Caller, &r.Listen.Peer, &r.Listen.Operator} {
+		for _, a := range []*string{&r.Listen.Caller, &r.Listen.Peer, &r.Listen.Operator, &r.Debug.Listen} {
 			if *a, err = p.next(); err != nil {
 				return err
 			}
--- a/cmd/galenalatch/scenario_test.go
+++ b/cmd/galenalatch/scenario_test.go
@@ -66,6 +66,7 @@
 			"race":     scriptCommand((*scenario).race),
 			"churn":    scriptCommand((*scenario).churn),
 			"nonew":    scriptCommand((*scenario).nonew),
+			"cut":      scriptCommand((*scenario).cut),
 			"load":     scriptCommand((*scenario).load),
 			"verdict":  scriptCommand((*scenario).verdict),
 		},
