check: name the fields of which exactly one is allowed

Cause: the text named file and env for every such rule, also for model and pool of a load plan. Change: the text names the field and the one in its rule. Before: 'callers[0].model: ... allowed: exactly one of file and env'. After: '... exactly one of model and pool'.

--- a/cmd/galenalatch/load_test.go
+++ b/cmd/galenalatch/load_test.go
@@ -171,6 +171,34 @@
 	return nil
 }
 
+// first checks the 95th percentile of the time to the first piece of an answer
+// in the rows of a load that has ended: first BOUND NAME.
+func (s *scenario) first(_ *testscript.TestScript, args []string) error {
+	bound, rest, err := withBound(args)
+	if err != nil || len(rest) != 1 {
+		return errors.New("usage: first bound name")
+	}
+	data, err := os.ReadFile(filepath.Join(s.dir, rest[0]+".out"))
+	if err != nil {
+		return err
+	}
+	lines := strings.Split(string(data), "\n")
+	from, to := strings.Index(lines[0], "P95"), strings.Index(lines[0], "TOTAL P50")
+	for _, l := range lines[1:] {
+		if len(l) < to || strings.HasPrefix(l, "servers:") {
+			continue
+		}
+		got, err := time.ParseDuration(strings.TrimSpace(l[from:to]))
+		if err != nil {
+			return err
+		}
+		if got > bound {
+			return fmt.Errorf("95th percentile %v is over %v: %s", got, bound, l)
+		}
+	}
+	return nil
+}
+
 // chat asks a router with the OpenAI SDK and checks the whole answer:
 // chat ROUTER stream|whole WORKSPACE TOKENS.
 func (s *scenario) chat(_ *testscript.TestScript, args []string) error {
--- a/cmd/galenalatch/scenario_test.go
+++ b/cmd/galenalatch/scenario_test.go
@@ -67,6 +67,8 @@
 			"churn":    scriptCommand((*scenario).churn),
 			"nonew":    scriptCommand((*scenario).nonew),
 			"cut":      scriptCommand((*scenario).cut),
+			"peer":     scriptCommand((*scenario).peer),
+			"first":    scriptCommand((*scenario).first),
 			"load":     scriptCommand((*scenario).load),
 			"verdict":  scriptCommand((*scenario).verdict),
 		},
--- a/internal/config/check/checker.go
+++ b/internal/config/check/checker.go
@@ -174,7 +174,7 @@
 		case "url", "http_url":
 			texts = append(texts, "a URL such as http://127.0.0.1:8080")
 		case "required_without", "excluded_with":
-			texts = append(texts, oneSource)
+			return "exactly one of " + f.Field() + " and " + lowerFirst(param)
 		case "printascii":
 			texts = append(texts, "printable ASCII")
 		case "hexadecimal", "lowercase":
@@ -182,8 +182,6 @@
 		}
 	}
 	switch {
-	case slices.Contains(texts, oneSource):
-		return oneSource
 	case low == "1" && high == "" && len(texts) > 0 && f.Kind() == reflect.String:
 		// The other rules exclude the empty text too.
 	case low != "" && high != "":
@@ -199,8 +197,6 @@
 	return strings.Join(texts, ", ")
 }
 
-const oneSource = "exactly one of file and env"
-
 func unit(k reflect.Kind) string {
 	switch k {
 	case reflect.String:
