--- a/cmd/galenalatch/control_test.go
+++ b/cmd/galenalatch/control_test.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -110,7 +111,7 @@
 
 // request makes one call and prints the status and the body. A status from
 // 300 on is an error: request caller|operator ROUTER METHOD PATH TOKEN
-// [BODY|@FILE] [HEADER: VALUE]...
+// [BODY|large:BYTES] [HEADER: VALUE]...
 func (s *scenario) request(ts *testscript.TestScript, args []string) error {
 	if len(args) < 5 {
 		return errors.New("usage: request caller|operator router method path token [body] [header]...")
@@ -125,8 +126,12 @@
 	var body []byte
 	if len(args) > 5 {
 		body = []byte(args[5])
-		if f, ok := strings.CutPrefix(args[5], "@"); ok {
-			body = []byte(ts.ReadFile(f))
+		if n, ok := strings.CutPrefix(args[5], "large:"); ok {
+			size, err := strconv.Atoi(n)
+			if err != nil {
+				return err
+			}
+			body = bytes.Repeat([]byte("a"), size)
 		}
 	}
 	token := args[4]
