--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"os/user"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -40,6 +42,8 @@
 	count     int
 	name      string
 	force     bool
+	watch     bool
+	every     time.Duration
 }
 
 // Register adds the commands to app. Their output goes to out.
@@ -68,7 +72,14 @@
 	c.service(server.Command("out", "Take a backend server out of service."), "backend server", serverOf, true)
 	c.service(server.Command("in", "Bring a backend server back into service."), "backend server", serverOf, false)
 
-	c.action(c.command(app, "status", "Print the status of routers."), c.status)
+	st := c.command(app, "status", "Print the status of routers.")
+	st.Flag("watch", "Print it again and again until the command is interrupted.").BoolVar(&c.watch)
+	st.Flag("every", "Time between two prints.").Default("2s").DurationVar(&c.every)
+	st.Action(func(*kingpin.ParseContext) error {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return exit.Wrap(c.watchStatus(ctx))
+	})
 	return c
 }
 
