--- a/internal/process/router/observe.go
+++ b/internal/process/router/observe.go
@@ -89,7 +89,9 @@
 	}
 }
 
-// onService logs what a newer catalogue takes out of service or back in.
+// onService logs what a newer catalogue takes out of service or back in. A
+// router that starts reads the history, which is not logged: it logs what is
+// out of service when it is ready for the first time.
 func (r *Router) onService(c galenalatch.Catalogue) {
 	r.mu.Lock()
 	before := r.applied
@@ -97,6 +99,11 @@
 		r.mu.Unlock()
 		return
 	}
+	if !r.served.Load() {
+		r.applied = galenalatch.Catalogue{Version: c.Version}
+		r.mu.Unlock()
+		return
+	}
 	r.applied = c
 	r.mu.Unlock()
 	note(r.log, "dataCentre", before.OutOfService, c.OutOfService)
--- a/internal/process/router/observe_test.go
+++ b/internal/process/router/observe_test.go
@@ -83,6 +83,8 @@
 func TestServiceAndServerEvents(t *testing.T) {
 	l, got := logged(t)
 	r := &Router{log: l}
+	r.onService(galenalatch.Catalogue{}.WithServer("x", true))
+	r.served.Store(true)
 	c := galenalatch.Catalogue{Version: 1}.WithDataCentre("a", true)
 	r.onService(c)
 	r.onService(c.WithVersion(2).WithServer("s", true).WithDataCentre("a", false))
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -60,7 +60,9 @@
 	// applied is the catalogue whose changes were logged.
 	applied  galenalatch.Catalogue
 	draining atomic.Bool
-	ready    atomic.Bool
+	// served says that the router has been ready.
+	served atomic.Bool
+	ready  atomic.Bool
 }
 
 // Option changes a Router.
@@ -189,6 +191,9 @@
 		return
 	}
 	r.log.Event(events.RouterReady, "version", r.catalogue.Current().Version)
+	if !r.served.Swap(true) {
+		r.onService(r.catalogue.Current())
+	}
 }
 
 // notReady returns why the router should get no new requests.
