--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -119,6 +120,27 @@
 	}
 }
 
+// TestUsage guards against a caller that escapes its true cost by not asking
+// for the usage, and against an event that it did not ask for.
+func TestUsage(t *testing.T) {
+	s := standin.New(standin.Settings{})
+	address := start(t, s)
+	c := newClient(t)
+	const asked = `"stream_options":{"include_usage":true}`
+	for text, pieces := range map[string]int{
+		`"stream_options":{"include_usage":true}`: 6, `"stream_options":{"include_usage":false}`: 5,
+		`"stream_options":null`: 5, `"user":"x"`: 5,
+	} {
+		o := order(address, s.Boot(), "1", "a b", 4, true)
+		o.Body = []byte(strings.Replace(string(o.Body), asked, text, 1))
+		var r recorder
+		u, err := c.Run(t.Context(), o, &r)
+		assert.NilError(t, err)
+		assert.Equal(t, u, galenalatch.Usage{PromptTokens: 2, OutputTokens: 4}, text)
+		assert.Equal(t, r.pieces, pieces, text)
+	}
+}
+
 // TestCutStreams guards against doubled and lost pieces at every place where
 // a stream can break, and against a silent end when it can't be resumed.
 func TestCutStreams(t *testing.T) {
@@ -187,6 +209,57 @@
 	assert.Equal(t, s.Stats().Resumes, 3)
 }
 
+// TestBadStreams guards against taking a stream for whole that ends in order
+// but without [DONE] or lacks events, and against using a connection again
+// whose body has not ended.
+func TestBadStreams(t *testing.T) {
+	const piece = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	var text string
+	s := standin.New(standin.Settings{ResumeWindow: time.Minute})
+	mux := http.NewServeMux()
+	mux.Handle("/", s)
+	mux.HandleFunc("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte(text))
+		_ = http.NewResponseController(w).Flush()
+		if strings.HasSuffix(text, "[DONE]\n\n") {
+			<-r.Context().Done()
+		}
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	c := newClient(t)
+	run := func(address string) (*recorder, error) {
+		var r recorder
+		_, err := c.Run(t.Context(), order(address, s.Boot(), "1", "a", 9, true), &r)
+		return &r, err
+	}
+	text = piece
+	mux.HandleFunc("/other", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "2") })
+	other := order(server.Listener.Addr().String(), s.Boot(), "1", "a", 9, true)
+	other.Path = "/other"
+	_, err := c.Run(t.Context(), other, &recorder{})
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindServerBroke)
+	r, err := run(server.Listener.Addr().String())
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+	assert.Equal(t, r.pieces, 1)
+	text = "data: [DONE]\n\n"
+	r, err = run(server.Listener.Addr().String())
+	assert.NilError(t, err)
+	assert.Equal(t, r.heads, 1)
+	text = piece + "data: [DONE]\n\n"
+	for range 2 {
+		r, err = run(server.Listener.Addr().String())
+		assert.NilError(t, err)
+		assert.Equal(t, r.text.String(), "a")
+	}
+
+	s.SetFailures(process.Failures{BreakAfter: 2, BreakTimes: 1, ResumeOverlap: -1})
+	r, err = run(start(t, s))
+	assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindStreamBroke)
+	assert.Equal(t, r.text.String(), standin.Answer("a", 2))
+}
+
 // TestCancel guards against an engine that generates for nobody, whether the
 // caller goes away by its context or by an error of the sink.
 func TestCancel(t *testing.T) {
@@ -195,6 +268,7 @@
 		address := start(t, s)
 		c := newClient(t)
 		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
 		var r recorder
 		r.onPiece = func() error {
 			if !byContext {
@@ -204,7 +278,6 @@
 			return nil
 		}
 		u, err := c.Run(ctx, order(address, s.Boot(), "1", "a", 1_000_000, true), &r)
-		cancel()
 		assert.Equal(t, galenalatch.KindOf(err), galenalatch.KindCallerGone)
 		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Cancelled)
 		assert.Check(t, u.OutputTokens >= 1)
@@ -288,3 +361,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.status, http.StatusBadRequest)
 }
+
+// TestCancelFreesSlot guards against a slot that is given to another request
+// before the engine has noticed the cancel, which overruns a cold engine.
+func TestCancelFreesSlot(t *testing.T) {
+	s := standin.New(standin.Settings{
+		Settings: process.Settings{ColdLimit: 1, ColdRequests: 1000},
+		Slots:    4, TokenTime: 100 * time.Microsecond,
+	})
+	address := start(t, s)
+	// The next request does not wait for a new connection.
+	const cancels = 200
+	p := connection.New(connection.WithIdle(time.Minute, cancels, cancels))
+	defer p.Close()
+	var kept []*connection.Connection
+	for range cancels {
+		k, err := p.Get(t.Context(), address, s.Boot())
+		assert.NilError(t, err)
+		kept = append(kept, k)
+	}
+	for _, k := range kept {
+		k.Release()
+	}
+	c := New(p)
+	for i := range cancels {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := recorder{onPiece: func() error { cancel(); return nil }}
+		_, err := c.Run(ctx, order(address, s.Boot(), fmt.Sprint(i), "a", 100_000, true), &r)
+		cancel()
+		assert.Equal(t, galenalatch.OutcomeOf(err), galenalatch.Cancelled)
+	}
+	assert.Equal(t, s.Stats().Overruns, 0)
+}
--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -89,6 +89,15 @@
 		{"valid", func(*Cell) {}, 1},
 		{"expired", func(c *Cell) { c.SetLease(start, false) }, 0},
 		{"lapsed", func(c *Cell) { c.SetLease(start, true) }, 1},
+		{"lapsed for 2 h", func(c *Cell) { c.SetLease(start.Add(-2*time.Hour-time.Second), true) }, 0},
+		{"report incomplete", func(c *Cell) {
+			c.SetRouters(start, []galenalatch.RouterID{"x"})
+			c.Handle(start, "x", galenalatch.Report{Cell: cellID, Epoch: 1, More: true})
+		}, 0},
+		{"report complete", func(c *Cell) {
+			c.SetRouters(start, []galenalatch.RouterID{"x"})
+			c.Handle(start, "x", galenalatch.Report{Cell: cellID, Epoch: 1})
+		}, 1},
 		{"unreported", func(c *Cell) { c.SetRouters(start, []galenalatch.RouterID{"x"}) }, 0},
 		{"newer", func(c *Cell) { c.SetPeers(start, []galenalatch.Holder{{Cell: cellID, Epoch: 2}}) }, 0},
 		{"boot unknown", func(c *Cell) { c.SetServers(start, []galenalatch.Instance{{ID: "t"}}) }, 0},
@@ -125,6 +134,32 @@
 	}
 }
 
+// Guards against a cell that earns credit while it is quiet or separated from
+// the other cells.
+func TestVirtualTimeFollowsPeers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		busy bool
+		want int64
+	}{{"quiet, then busy", false, 100000 + 2*10}, {"separated", true, 102000 - 64*100}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t)
+			ids := []string{"1", "2", "3", "4"}
+			if tc.busy {
+				enqueue(c, start, ids...)
+			}
+			c.Tick(start)
+			for i, vt := range []int64{102000, 100000} {
+				id := galenalatch.CellID{Pool: "m", DataCentre: galenalatch.DataCentre(fmt.Sprint("p", i))}
+				c.Handle(start, "x", galenalatch.Summary{Cell: id, Epoch: 1, VirtualTime: vt, Waiting: 1})
+			}
+			enqueue(c, start, ids...)
+			c.Tick(start)
+			assert.Equal(t, c.Status(start).VirtualTime, tc.want)
+		})
+	}
+}
+
 // Guards against a cell that keeps free slots while another cell of the pool
 // has waiting work, and against loans that are counted twice.
 func TestLoanGoesToNeediestCell(t *testing.T) {
@@ -203,6 +238,12 @@
 				Request: g.Request, Server: g.Server, Boot: g.Boot, Home: cellID, ServerCell: cellID, Serial: g.Serial,
 			}}})
 		}, 0, 0},
+		{"report after an unknown finish", func(c *Cell, g galenalatch.Grant) {
+			c.Handle(start, "e", galenalatch.Finish{Cell: cellID, Request: "2", Serial: 7})
+			c.Handle(start, "e", galenalatch.Report{Cell: cellID, Epoch: 1, Running: []galenalatch.Running{{
+				Request: "2", Server: g.Server, Boot: g.Boot, Home: cellID, ServerCell: cellID, Serial: 7,
+			}}})
+		}, 1, 1},
 		{"entry is gone for 9 s", func(c *Cell, _ galenalatch.Grant) {
 			c.RouterDown(start, "e")
 			c.Tick(start.Add(9 * time.Second))
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -92,7 +92,6 @@
 	changed  chan struct{}
 	reported map[galenalatch.CellID]reportedTo
 	unsent   []finished
-	units    map[unitsKey]float64
 }
 
 // New returns an entry. Run must be called for it to work.
@@ -123,7 +122,6 @@
 		leases:   make(map[galenalatch.CellID]lease),
 		changed:  make(chan struct{}),
 		reported: make(map[galenalatch.CellID]reportedTo),
-		units:    make(map[unitsKey]float64),
 	}
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -132,6 +132,7 @@
 		defer e.keep(s)
 	}
 	if !e.admit(n) {
+		n.End()
 		process.Abort(w)
 		return
 	}
@@ -157,7 +158,7 @@
 }
 
 func (e *Server) generate(w http.ResponseWriter, n *process.Run, a answer, first int) {
-	cached := e.cache.use(a.request.words)
+	cached := e.cache.use(a.request.words, e.Generation())
 	e.AddCached(int64(cached))
 	a.cached = cached
 	prompt := time.Duration(len(a.request.words)-cached) * e.settings.PromptTokenTime
@@ -165,6 +166,7 @@
 		prompt = 0
 	}
 	if e.Wait(n.Context(), e.settings.FirstToken+prompt) != nil {
+		n.End()
 		process.Abort(w)
 		return
 	}
@@ -174,6 +176,7 @@
 	}
 	for i := 1; i < a.request.MaxTokens; i++ {
 		if e.Wait(n.Context(), e.settings.TokenTime) != nil {
+			n.End()
 			process.Abort(w)
 			return
 		}
--- a/message.go
+++ b/message.go
@@ -95,6 +95,9 @@
 	Epoch   Epoch     `cbor:"epoch"`
 	Waiting []Waiting `cbor:"waiting"`
 	Running []Running `cbor:"running"`
+	// More says that another part of the report follows, because one
+	// message could not hold it.
+	More bool `cbor:"more,omitempty"`
 }
 
 // Enqueue asks the holder of a home cell for a grant.
@@ -230,9 +233,8 @@
 	Used      bool   `cbor:"used"`
 	Failed    bool   `cbor:"failed"`
 	Completed bool   `cbor:"completed"`
-	// Unknown says that the borrower has no record of the slot, so that an
-	// earlier holder may have used it.
-	Unknown bool `cbor:"unknown,omitempty"`
+	// Assumed says that the borrower has no entry's word for the end.
+	Assumed bool `cbor:"assumed,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
