Do not report a duplicate connection as the loss of a peer

When two routers dialled each other at once, the connection that was given up was reported like a failure (event 7002) and removed the mark of the one that survived, so its later end counted as unreachable for 2 s.

--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -304,3 +304,19 @@
 		assert.Equal(t, n, tc.want)
 	}
 }
+
+// Guards against routers that are reported as gone again and again, or
+// although none of their requests was running.
+func TestGone(t *testing.T) {
+	c := newCell(t)
+	enqueue(c, start, "1")
+	c.Tick(start)
+	c.RouterUp(start, "idle", "s1")
+	c.RouterDown(start, "e")
+	c.RouterDown(start, "idle")
+	c.Tick(start.Add(9 * time.Second))
+	assert.Equal(t, len(c.Gone()), 0)
+	c.Tick(start.Add(10 * time.Second))
+	assert.DeepEqual(t, c.Gone(), []galenalatch.RouterID{"e"})
+	assert.Equal(t, len(c.Gone()), 0)
+}
--- a/internal/operator/api/handler.go
+++ b/internal/operator/api/handler.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
@@ -126,7 +127,8 @@
 	f.Error.Outcome = galenalatch.OutcomeOf(err)
 	f.Error.Message = err.Error()
 	if e := (*galenalatch.Error)(nil); errors.As(err, &e) {
-		f.Error.Message = e.Err.Error()
+		// The kind has a field of its own.
+		f.Error.Message = strings.TrimPrefix(e.Err.Error(), string(kind)+": ")
 	}
 	if kind == galenalatch.KindConflict {
 		f.Error.Current = h.store.Current().Version
--- a/internal/peer/link/handshake.go
+++ b/internal/peer/link/handshake.go
@@ -80,7 +80,7 @@
 	}
 	if err != nil {
 		s.abandon(err)
-		m.Failed(id, err)
+		p.failed(err)
 		return
 	}
 	s.run()
--- a/internal/peer/link/mesh_test.go
+++ b/internal/peer/link/mesh_test.go
@@ -132,7 +132,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
 		n := newNetwork(t)
-		limit := func(o *Options) { o.MaxQueued, o.MaxQueuedBytes = 100, 64<<10 }
+		full := 0
+		limit := func(o *Options) {
+			o.MaxQueued, o.MaxQueuedBytes = 100, 64<<10
+			o.Full = func(galenalatch.RouterID) { full++ }
+		}
 		a := n.start("a", "s1", limit)
 		n.start("b", "s1", func(o *Options) {
 			o.Handle = func(galenalatch.RouterID, galenalatch.Message) { <-release }
@@ -148,6 +152,7 @@
 			assert.Assert(t, a.Stats()["b"].Queued <= 65)
 		}
 		assert.Assert(t, refused > 100, "refused %d", refused)
+		assert.Equal(t, full, refused)
 		assert.Assert(t, a.Send("c", ask(1)))
 		wait(time.Millisecond)
 		assert.DeepEqual(t, c.take(), []string{"up a s1", "a 1"})
@@ -313,7 +318,12 @@
 				})
 				if c.status != 0 {
 					assert.Equal(t, resp.StatusCode, c.status)
-					assert.Equal(t, len(a.take()), 0)
+					got := a.take()
+					if c.status == http.StatusUnauthorized {
+						assert.DeepEqual(t, got, []string{"rejected " + c.router})
+						return
+					}
+					assert.Equal(t, len(got), 0)
 					return
 				}
 				assert.NilError(t, err)
@@ -332,7 +342,10 @@
 				assert.NilError(t, ctx.Err())
 				synctest.Wait()
 				want := []string{"up x s1", "down x"}
-				if !c.up {
+				switch {
+				case c.name == "protocol":
+					want = []string{"rejected x"}
+				case !c.up:
 					want = nil
 				}
 				assert.DeepEqual(t, a.take(), want)
--- a/internal/peer/link/network_test.go
+++ b/internal/peer/link/network_test.go
@@ -98,6 +98,7 @@
 		},
 		Up:          func(r galenalatch.RouterID, s string) { d.add("up %s %s", r, s) },
 		Failed:      func(r galenalatch.RouterID, err error) { n.t.Logf("%s-%s: %v", id, r, err) },
+		Rejected:    func(r galenalatch.RouterID, _ error) { d.add("rejected %s", r) },
 		Down:        func(r galenalatch.RouterID) { d.add("down %s", r) },
 		DialContext: n.dial,
 	}
--- a/internal/peer/link/peer.go
+++ b/internal/peer/link/peer.go
@@ -131,7 +131,7 @@
 	}
 	p.mu.Unlock()
 	if err != nil {
-		p.mesh.Failed(p.id, err)
+		p.failed(err)
 		return
 	}
 	s.run()
@@ -167,6 +167,15 @@
 	p.failures++
 }
 
+// failed tells why there is no connection. A connection that was closed in
+// favour of another one is no failure.
+func (p *peer) failed(err error) {
+	if (errors.Is(err, errBothDial) || errors.Is(err, errReplaced)) && p.connected() {
+		return
+	}
+	p.mesh.Failed(p.id, err)
+}
+
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
 }
