Add the measure command: slopes of state, messages and processor time

The command runs small fleets of whole routers with stand-ins on loopback at several sizes, fits a line through each value and prints the residual. Bytes between routers are counted by link.Mesh, which also counts messages now; bytes with the platform and the backend servers are counted on their listeners. Processor time is that of the process.

--- /dev/null
+++ b/internal/load/slopes/running.go
@@ -0,0 +1,232 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/operator/client"
+)
+
+// settle is the time after a change of the fleet before it is observed, so
+// that leases and lists have followed.
+const settle = 3 * time.Second
+
+// observed observes a fleet at each size after grow has brought it there.
+func observed(ctx context.Context, m *Measurement, first int, sizes []int, grow func(*fleet, int) error) (points []Point, err error) {
+	f, err := newFleet(ctx, first)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if e := f.close(); err == nil {
+			err = e
+		}
+	}()
+	for _, n := range sizes {
+		if err := grow(f, n); err != nil {
+			return nil, fmt.Errorf("growing to %d: %w", n, err)
+		}
+		t := time.NewTimer(settle)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, ctx.Err()
+		case <-t.C:
+		}
+		v, err := f.observe(m.window, true)
+		if err != nil {
+			return nil, err
+		}
+		points = append(points, Point{float64(n), v})
+	}
+	return points, nil
+}
+
+// routers measures idle routers without backend servers. All values but the
+// calls to the platform are per router, since the connections of one router
+// grow with the number of routers.
+func routers(ctx context.Context, m *Measurement) ([]Point, error) {
+	points, err := observed(ctx, m, 4, []int{4, 8, 16, 32}, (*fleet).grow)
+	for _, p := range points {
+		for _, k := range []string{"state B", "cpu ms/s", "peer B/s", "messages/s", "platform B/s", "connections"} {
+			p.Values[k+" of one"] = p.Values[k] / p.X
+			delete(p.Values, k)
+		}
+	}
+	return points, err
+}
+
+// cells measures idle cells with one backend server each.
+func cells(ctx context.Context, m *Measurement) ([]Point, error) {
+	return observed(ctx, m, 4, []int{4, 8, 16, 32}, func(f *fleet, n int) error {
+		for i := len(f.engines); i < n; i++ {
+			if err := f.addServer(poolName(i/len(dataCentres)), dataCentres[i%len(dataCentres)]); err != nil {
+				return err
+			}
+		}
+		return f.waitCells(n)
+	})
+}
+
+// servers measures idle backend servers of one pool in four cells.
+func servers(ctx context.Context, m *Measurement) ([]Point, error) {
+	return observed(ctx, m, 4, []int{4, 16, 32, 64}, func(f *fleet, n int) error {
+		for i := len(f.engines); i < n; i++ {
+			if err := f.addServer(poolName(0), dataCentres[i%len(dataCentres)]); err != nil {
+				return err
+			}
+		}
+		return f.waitCells(len(dataCentres))
+	})
+}
+
+// serving returns a fleet of four routers whose four cells grant.
+func serving(ctx context.Context) (*fleet, error) {
+	f, err := newFleet(ctx, 4)
+	if err != nil {
+		return nil, err
+	}
+	for _, dc := range dataCentres {
+		if err == nil {
+			err = f.addServer(poolName(0), dc)
+		}
+	}
+	if err == nil {
+		err = f.waitCells(len(dataCentres))
+	}
+	if err != nil {
+		_ = f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// requests measures short streamed requests at several rates, through the
+// routers and directly to the backend servers. The difference of the
+// processor times is that of the routers.
+func requests(ctx context.Context, m *Measurement) (points []Point, err error) {
+	return loaded(ctx, m, []int{10, 20, 40, 80}, func(f *fleet, n int, direct bool) (*load, float64) {
+		return f.startLoad(calls{rate: n, tokens: 4, direct: direct}), float64(n)
+	})
+}
+
+// tokens measures streams that run all the time at 58 ms a token.
+func tokens(ctx context.Context, m *Measurement) ([]Point, error) {
+	return loaded(ctx, m, []int{16, 32, 64, 128}, func(f *fleet, n int, direct bool) (*load, float64) {
+		return f.startLoad(calls{streams: n, tokens: 100_000, direct: direct}), float64(n) / tokenTime.Seconds()
+	})
+}
+
+func loaded(ctx context.Context, m *Measurement, sizes []int, start func(*fleet, int, bool) (*load, float64)) (points []Point, err error) {
+	f, err := serving(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if e := f.close(); err == nil {
+			err = e
+		}
+	}()
+	for _, n := range sizes {
+		p := Point{Values: make(map[string]float64)}
+		for _, direct := range []bool{false, true} {
+			l, x := start(f, n, direct)
+			p.X = x
+			if err := l.warm(ctx); err != nil {
+				return nil, err
+			}
+			v, err := f.observe(m.window, false)
+			if err != nil {
+				return nil, err
+			}
+			if err := l.end(); err != nil {
+				return nil, err
+			}
+			if direct {
+				p.Values["direct cpu ms/s"] = v["cpu ms/s"]
+				p.Values["router cpu ms/s"] = p.Values["cpu ms/s"] - v["cpu ms/s"]
+				continue
+			}
+			delete(v, "server B/s")
+			for k, y := range v {
+				p.Values[k] = y
+			}
+		}
+		points = append(points, p)
+	}
+	return points, nil
+}
+
+// changes measures changes of one entry at several rates.
+func changes(ctx context.Context, m *Measurement) (points []Point, err error) {
+	f, err := serving(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if e := f.close(); err == nil {
+			err = e
+		}
+	}()
+	for _, n := range []int{1, 2, 3, 4} {
+		o := &operator{client: client.New(f.routers[0].operator, f.token), rate: n, done: make(chan struct{})}
+		work, cancel := context.WithCancel(ctx)
+		go o.run(work)
+		v, err := f.observe(m.window, false)
+		cancel()
+		<-o.done
+		if err == nil {
+			err = o.err
+		}
+		if err != nil {
+			return nil, err
+		}
+		v["ms until accepted"] = o.waited.Seconds() * 1000 / float64(max(1, o.made))
+		points = append(points, Point{float64(o.made) / m.window.Seconds(), v})
+	}
+	return points, nil
+}
+
+// operator makes changes at a rate.
+type operator struct {
+	client *client.Client
+	rate   int
+	made   int
+	waited time.Duration
+	done   chan struct{}
+	err    error
+}
+
+func (o *operator) run(ctx context.Context) {
+	defer close(o.done)
+	c, err := o.client.Catalogue(ctx)
+	if err != nil {
+		o.err = err
+		return
+	}
+	tick := time.NewTicker(time.Second / time.Duration(o.rate))
+	defer tick.Stop()
+	for base := c.Version; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		began := time.Now()
+		r, err := o.client.Apply(ctx, base, galenalatch.Change{
+			ID: fmt.Sprintf("%d-%d", o.rate, base), Author: "measure", PutEntries: []galenalatch.Entry{limits(0, int(base%100)+1)},
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			o.err = err
+			return
+		}
+		o.waited += time.Since(began)
+		o.made++
+		base = r.Version
+	}
+}
--- /dev/null
+++ b/internal/load/slopes/slopes.go
@@ -0,0 +1,170 @@
+// Package slopes measures how the state, the messages and the processor time
+// of a fleet grow with its size. It runs small fleets of whole routers with
+// stand-ins on loopback, or single parts of a router, at several sizes and
+// fits a line through each measured value.
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Point holds the values that were measured at one size.
+type Point struct {
+	X      float64            `json:"x"`
+	Values map[string]float64 `json:"values"`
+}
+
+// Result is the measurement of one slope.
+type Result struct {
+	Name   string         `json:"name"`
+	Role   string         `json:"role"`
+	Unit   string         `json:"unit"`
+	Points []Point        `json:"points"`
+	Fits   map[string]Fit `json:"fits"`
+}
+
+// Measurement measures slopes. Create it with New.
+type Measurement struct {
+	out    io.Writer
+	only   string
+	json   bool
+	window time.Duration
+}
+
+// Option changes a Measurement.
+type Option func(*Measurement)
+
+// WithOnly measures the slope of that name only.
+func WithOnly(name string) Option { return func(m *Measurement) { m.only = name } }
+
+// WithJSON prints JSON instead of a table.
+func WithJSON(on bool) Option { return func(m *Measurement) { m.json = on } }
+
+// WithWindow sets the time for which a running fleet is observed at each
+// size. The default is 4 s.
+func WithWindow(d time.Duration) Option { return func(m *Measurement) { m.window = d } }
+
+// New returns a measurement that prints to out.
+func New(out io.Writer, options ...Option) *Measurement {
+	m := &Measurement{out: out, window: 4 * time.Second}
+	for _, o := range options {
+		o(m)
+	}
+	return m
+}
+
+// slope is one experiment.
+type slope struct {
+	name, role, unit string
+	measure          func(ctx context.Context, m *Measurement) ([]Point, error)
+}
+
+// list returns the experiments, from the smallest to the largest.
+func list() []slope {
+	return []slope{
+		{"backlogged", "dispatcher", "backlogged workspaces in one cell", backlogged},
+		{"progress", "entry and dispatcher", "running requests in one progress message", progress},
+		{"workspaces", "entry", "workspaces in the catalogue", workspaces},
+		{"connections", "entry and dispatcher", "connections of one router", connections},
+		{"routers", "entry and dispatcher", "routers", routers},
+		{"cells", "dispatcher", "cells of 4 routers, one backend server each", cells},
+		{"servers", "dispatcher", "backend servers in 4 cells of 4 routers", servers},
+		{"requests", "entry and dispatcher", "requests a second to 4 routers", requests},
+		{"tokens", "entry", "tokens a second through 4 routers", tokens},
+		{"changes", "operator client", "catalogue changes a second to 4 routers", changes},
+	}
+}
+
+// Names returns the names of the slopes.
+func Names() []string {
+	var names []string
+	for _, s := range list() {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// Run measures the slopes one after the other and prints them.
+func (m *Measurement) Run(ctx context.Context) error {
+	var results []Result
+	for _, s := range list() {
+		if m.only != "" && m.only != s.name {
+			continue
+		}
+		points, err := s.measure(ctx, m)
+		if err != nil {
+			return fmt.Errorf("slope %s: %w", s.name, err)
+		}
+		r := newResult(s, points)
+		results = append(results, r)
+		if !m.json {
+			if err := r.write(m.out); err != nil {
+				return err
+			}
+		}
+	}
+	if len(results) == 0 {
+		return fmt.Errorf("slope %q is not known; known: %s", m.only, strings.Join(Names(), ", "))
+	}
+	if !m.json {
+		return nil
+	}
+	e := json.NewEncoder(m.out)
+	e.SetIndent("", "  ")
+	return e.Encode(results)
+}
+
+func newResult(s slope, points []Point) Result {
+	r := Result{Name: s.name, Role: s.role, Unit: s.unit, Points: points, Fits: make(map[string]Fit)}
+	names := make(map[string]bool)
+	for _, p := range points {
+		for k := range p.Values {
+			names[k] = true
+		}
+	}
+	for k := range names {
+		var xs, ys []float64
+		for _, p := range points {
+			if v, ok := p.Values[k]; ok {
+				xs, ys = append(xs, p.X), append(ys, v)
+			}
+		}
+		r.Fits[k] = fit(xs, ys)
+	}
+	return r
+}
+
+func (r Result) write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintf(w, "%s (%s), x = %s\n", r.Name, r.Role, r.Unit)
+	_, _ = fmt.Fprint(t, "value\t")
+	for _, p := range r.Points {
+		_, _ = fmt.Fprintf(t, "x=%.4g\t", p.X)
+	}
+	_, _ = fmt.Fprint(t, "at x=0\tper x\tresidual\tof largest\t\n")
+	for _, k := range slices.Sorted(maps.Keys(r.Fits)) {
+		_, _ = fmt.Fprintf(t, "%s\t", k)
+		for _, p := range r.Points {
+			if v, ok := p.Values[k]; ok {
+				_, _ = fmt.Fprintf(t, "%.5g\t", v)
+			} else {
+				_, _ = fmt.Fprint(t, "-\t")
+			}
+		}
+		f := r.Fits[k]
+		_, _ = fmt.Fprintf(t, "%.4g\t%.4g\t%.3g\t%.1f%%\t\n", f.Intercept, f.Slope, f.Residual, 100*f.Relative)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
--- a/internal/peer/link/mesh.go
+++ b/internal/peer/link/mesh.go
@@ -236,6 +236,8 @@
 	// start, with the framing of the WebSocket and the handshake's bytes
 	// after the request, without the headers of TCP and IP.
 	In, Out int64
+	// Sent is the number of messages that were written.
+	Sent int64
 	// Queued is the number of messages that wait.
 	Queued    int
 	Connected bool
--- a/internal/peer/link/peer.go
+++ b/internal/peer/link/peer.go
@@ -31,6 +31,7 @@
 	turn    chan struct{}
 	blocked atomic.Bool
 	in, out atomic.Int64
+	sent    atomic.Int64
 
 	mu       sync.Mutex
 	address  string
@@ -217,5 +218,5 @@
 func (p *peer) traffic() Traffic {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Traffic{In: p.in.Load(), Out: p.out.Load(), Queued: len(p.queue), Connected: p.session != nil}
+	return Traffic{In: p.in.Load(), Out: p.out.Load(), Sent: p.sent.Load(), Queued: len(p.queue), Connected: p.session != nil}
 }
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -115,6 +115,7 @@
 			if !s.write(frame) {
 				return
 			}
+			s.peer.sent.Add(int64(len(batch)))
 			beat.Reset(m.Heartbeat)
 			continue
 		}
--- a/internal/process/command/commands.go
+++ b/internal/process/command/commands.go
@@ -20,11 +20,12 @@
 
 // Commands holds the values of flags and arguments.
 type Commands struct {
-	out   io.Writer
-	path  string
-	check bool
-	ids   []string
-	demo  demoFlags
+	out     io.Writer
+	path    string
+	check   bool
+	ids     []string
+	demo    demoFlags
+	measure measureFlags
 }
 
 // Register adds the commands to app. Their output goes to out.
@@ -49,6 +50,7 @@
 	l.Flag("check", "Check the plan and exit.").BoolVar(&c.check)
 	l.Action(c.action(c.load))
 	c.registerDemo(app)
+	c.registerMeasure(app)
 	return c
 }
 
--- a/internal/process/router/status.go
+++ b/internal/process/router/status.go
@@ -7,6 +7,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/operator/message"
 	"github.com/galenalatch/galenalatch/internal/operator/status"
+	"github.com/galenalatch/galenalatch/internal/peer/link"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
 
@@ -58,6 +59,11 @@
 	return s
 }
 
+// Traffic returns the traffic with each other router.
+func (r *Router) Traffic() map[galenalatch.RouterID]link.Traffic {
+	return r.mesh.Stats()
+}
+
 // onChange logs and counts an operator's request for a change.
 func (r *Router) onChange(ch galenalatch.Change, m message.Result, err error) {
 	r.metrics.Changed(err)
