Keep a server warm when a connection to it could not be made

Cause: an idle connection that a server closes after its own time limit looked like a failed server, so a warm server started again at its cold limit although its process was the same. Change: such an end holds new work back until the next load report, which shows whether the process has restarted; only a broken request or another boot identity makes the server cold.

--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -46,6 +46,9 @@
 	ran       bool
 	completed bool
 	failed    bool
+	// unreached says that the server gets no new work before its next load
+	// report.
+	unreached bool
 	assumed   bool
 }
 
@@ -137,7 +140,7 @@
 	}
 	c.end(now, g, ending{
 		units: m.Units, ran: m.Outcome != galenalatch.NotRun,
-		completed: m.Completed, failed: m.Failed,
+		completed: m.Completed, failed: m.Failed, unreached: m.Unreached,
 	})
 }
 
@@ -148,7 +151,7 @@
 	if g.offer != nil {
 		c.giveBack(now, g.offer, e)
 	} else {
-		c.servers.Finish(now, g.serial, warmup.End{Completed: e.completed, Failed: e.failed, Assumed: e.assumed, Units: e.units})
+		c.servers.Finish(now, g.serial, warmup.End{Completed: e.completed, Failed: e.failed, Assumed: e.assumed || e.unreached, Units: e.units})
 	}
 	q := g.request
 	id := q.waiting.Request
--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -322,7 +322,7 @@
 	o.become(returned, now)
 	o.answer = galenalatch.GiveBack{
 		From: c.cfg.ID, To: o.key.lender, Slot: o.key.slot,
-		Used: e.ran, Failed: e.failed, Completed: e.completed, Assumed: e.assumed,
+		Used: e.ran, Failed: e.failed, Completed: e.completed, Assumed: e.assumed || e.unreached,
 	}
 	if p := c.peers[o.key.lender]; p != nil {
 		c.send(p.router, o.answer)
--- a/internal/process/entry/pending.go
+++ b/internal/process/entry/pending.go
@@ -173,6 +173,7 @@
 	if err != nil {
 		f.Outcome = galenalatch.OutcomeOf(err)
 		f.Failed = serverFailed[galenalatch.KindOf(err)]
+		f.Unreached = galenalatch.KindOf(err) == galenalatch.KindServerUnreached
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -184,10 +185,9 @@
 
 // serverFailed holds the kinds that show a failed or restarted server.
 var serverFailed = map[galenalatch.Kind]bool{
-	galenalatch.KindBootMismatch:    true,
-	galenalatch.KindServerUnreached: true,
-	galenalatch.KindServerBroke:     true,
-	galenalatch.KindStreamBroke:     true,
+	galenalatch.KindBootMismatch: true,
+	galenalatch.KindServerBroke:  true,
+	galenalatch.KindStreamBroke:  true,
 }
 
 // sendFinish tells the present holder of the cell. When there is none, the
--- a/message.go
+++ b/message.go
@@ -136,6 +136,9 @@
 	// Failed says that the server broke the connection or had another boot
 	// identity than the grant named.
 	Failed bool `cbor:"failed"`
+	// Unreached says that no connection to the server could be made. Whether
+	// it has restarted is not known.
+	Unreached bool `cbor:"unreached,omitempty"`
 	// Completed says that the server answered the request.
 	Completed bool `cbor:"completed"`
 	// Serial is the serial number of the grant that ends. Zero stands for
