Prefer the server that last ran a prompt's prefix

Cause: engines cache prompt prefixes in limited memory, and the dispatcher spread the requests of a workspace over all servers of the cell. Load plans have system messages; the load command prints the cached prompt tokens.

--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -71,6 +71,7 @@
 	q := &c.Request
 	q.Pool = p.Name
 	q.Estimate = m.estimate(p)
+	q.Prefix = m.prefix()
 	q.Method, q.Path = http.MethodPost, ChatPath
 	q.Repeatable = p.Repeatable(q.Method, q.Path)
 	q.Header = forwarded(c.HTTP.Header, q.ID, m.stream)
--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -113,6 +113,7 @@
 	catalogue galenalatch.Catalogue
 	queue     *fairqueue.Queue
 	servers   *warmup.Servers
+	prefixes  prefixes
 	serial    uint64
 
 	requests map[galenalatch.RequestID]*request
@@ -152,6 +153,7 @@
 		cfg:      cfg,
 		queue:    fairqueue.New(cfg.Pool.MaxCost),
 		servers:  warmup.New(cfg.Servers),
+		prefixes: newPrefixes(),
 		serial:   uint64(cfg.Epoch) << 32,
 		requests: make(map[galenalatch.RequestID]*request),
 		grants:   make(map[uint64]*grant),
--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -202,6 +202,9 @@
 	if !ok {
 		return
 	}
+	if o == nil {
+		t = c.prefixes.choose(now, c.servers, w, t)
+	}
 	q := c.requests[w.Request]
 	c.serial++
 	g := &grant{
--- a/internal/decide/warmup/servers.go
+++ b/internal/decide/warmup/servers.go
@@ -171,6 +171,15 @@
 	return Target{Server: best.id, Address: best.address, DataCentre: best.dataCentre, Boot: best.boot}, true
 }
 
+// PickServer returns the named server when it can take a request now.
+func (t *Servers) PickServer(now time.Time, id galenalatch.ServerID) (Target, bool) {
+	s := t.servers[id]
+	if s == nil || !s.usable(now) || s.limit(now) <= s.load() {
+		return Target{}, false
+	}
+	return Target{Server: s.id, Address: s.address, DataCentre: s.dataCentre, Boot: s.boot}, true
+}
+
 // Target returns the address of a server when the named boot identity may
 // still be sent work that was already granted.
 func (t *Servers) Target(now time.Time, id galenalatch.ServerID, boot galenalatch.BootID) (Target, bool) {
--- a/internal/load/audit/audit.go
+++ b/internal/load/audit/audit.go
@@ -20,6 +20,9 @@
 	Overruns  int
 	FallOvers int
 	Boots     int
+	// CachedTokens counts the prompt tokens that engines found in their
+	// prefix caches.
+	CachedTokens int64
 	// DoubledKeys counts idempotency keys that ran more than once, FalseNotRun
 	// requests that ran although the caller was told that they did not.
 	DoubledKeys int
@@ -66,6 +69,7 @@
 		r.Overruns += v.Overruns
 		r.FallOvers += v.FallOvers
 		r.Boots += v.Boots
+		r.CachedTokens += v.CachedTokens
 		for id, n := range v.Runs {
 			r.Runs += n
 			if a.notRun[id] {
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -158,13 +158,22 @@
 // query is one call; its retries are the same query.
 type query struct {
 	key    string
+	system string
 	prompt string
 	body   string
 }
 
+// words returns all words that the model reads.
+func (q query) words() string {
+	return q.system + " " + q.prompt
+}
+
 func (w *worker) query() query {
 	n := w.made.Add(1)
 	q := query{prompt: prompt(w.index, n, w.caller.PromptWords)}
+	if n := w.caller.SystemWords; n > 0 {
+		q.system = prompt(w.index, 0, n)
+	}
 	if w.caller.Keyed {
 		q.key = uuid.NewString()
 	}
--- a/internal/load/generator/try.go
+++ b/internal/load/generator/try.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -84,11 +85,15 @@
 	method, path, body := c.Method, "/services/"+string(c.Pool)+c.Path, []byte(q.body)
 	if c.Model != "" {
 		method, path = http.MethodPost, "/v1/chat/completions"
+		messages := []map[string]string{{"role": "user", "content": q.prompt}}
+		if q.system != "" {
+			messages = slices.Insert(messages, 0, map[string]string{"role": "system", "content": q.system})
+		}
 		body, _ = json.Marshal(map[string]any{
 			"model":      c.Model,
 			"stream":     c.Stream,
 			"max_tokens": c.MaxTokens,
-			"messages":   []map[string]string{{"role": "user", "content": q.prompt}},
+			"messages":   messages,
 		})
 	}
 	if method == http.MethodGet {
@@ -138,7 +143,7 @@
 		if data == "[DONE]" {
 			e.outcome = answered
 			e.body = text.String()
-			e.wrong = e.body != engine.Answer(q.prompt, w.caller.MaxTokens)
+			e.wrong = e.body != engine.Answer(q.words(), w.caller.MaxTokens)
 			return e
 		}
 		piece, err := content(data)
@@ -185,7 +190,7 @@
 			} `json:"choices"`
 		}
 		err := json.Unmarshal(data, &a)
-		return err == nil && len(a.Choices) == 1 && a.Choices[0].Message.Content == engine.Answer(q.prompt, w.caller.MaxTokens)
+		return err == nil && len(a.Choices) == 1 && a.Choices[0].Message.Content == engine.Answer(q.words(), w.caller.MaxTokens)
 	}
 	var r service.Record
 	if json.Unmarshal(data, &r) != nil || r.Path != w.caller.Path {
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -21,10 +21,13 @@
 	Key       string                    `json:"key" validate:"required,max=1024"`
 	Class     galenalatch.Class         `json:"class" validate:"required,oneof=interactive batch"`
 	// Model selects chat calls, Pool plain calls.
-	Model       string `json:"model,omitempty" validate:"required_without=Pool,excluded_with=Pool,max=128"`
-	PromptWords int    `json:"promptWords,omitempty" validate:"min=0,max=100000"`
-	MaxTokens   int    `json:"maxTokens,omitempty" validate:"min=0,max=100000"`
-	Stream      bool   `json:"stream,omitempty"`
+	Model string `json:"model,omitempty" validate:"required_without=Pool,excluded_with=Pool,max=128"`
+	// SystemWords is the length of a system message that all calls of the
+	// caller begin with.
+	SystemWords int  `json:"systemWords,omitempty" validate:"min=0,max=100000"`
+	PromptWords int  `json:"promptWords,omitempty" validate:"min=0,max=100000"`
+	MaxTokens   int  `json:"maxTokens,omitempty" validate:"min=0,max=100000"`
+	Stream      bool `json:"stream,omitempty"`
 
 	Pool   galenalatch.PoolName `json:"pool,omitempty" validate:"max=64"`
 	Method string               `json:"method,omitempty" validate:"required_with=Pool,omitempty,oneof=GET POST"`
--- a/internal/process/command/load.go
+++ b/internal/process/command/load.go
@@ -36,8 +36,8 @@
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(c.out, "servers: %d runs, %d completed, %d overruns, %d keys doubled, %d false notRun\n",
-		report.Runs, report.Completed, report.Overruns, report.DoubledKeys, report.FalseNotRun)
+	_, _ = fmt.Fprintf(c.out, "servers: %d runs, %d completed, %d overruns, %d keys doubled, %d false notRun, %d prompt tokens cached\n",
+		report.Runs, report.Completed, report.Overruns, report.DoubledKeys, report.FalseNotRun, report.CachedTokens)
 	faults := report.Faults()
 	if _, _, wrong := results.Totals(); wrong > 0 {
 		faults = append(faults, fmt.Sprintf("%d answers were wrong", wrong))
--- a/internal/process/entry/pending.go
+++ b/internal/process/entry/pending.go
@@ -90,6 +90,7 @@
 			Workspace: r.Workspace,
 			Class:     r.Class,
 			Estimate:  r.Estimate,
+			Prefix:    r.Prefix,
 			Bytes:     int64(len(r.Body)),
 		},
 		since:   now,
--- a/policy.go
+++ b/policy.go
@@ -9,6 +9,8 @@
 	Class     Class         `cbor:"class"`
 	// Estimate is the expected cost in service units.
 	Estimate int64 `cbor:"estimate"`
+	// Prefix identifies the beginning of a model prompt; 0 means none.
+	Prefix uint64 `cbor:"prefix,omitempty"`
 	// Bytes is the size of the request that the entry holds.
 	Bytes int64 `cbor:"bytes"`
 	// AgeMillis is how long the request had waited when the record was sent.
--- a/submitter.go
+++ b/submitter.go
@@ -14,7 +14,10 @@
 	// Estimate is the expected cost in service units, from the caller's
 	// hints; 0 when there is none.
 	Estimate int64
-	Method   string
+	// Prefix identifies the beginning of a model prompt, so that requests
+	// with the same beginning can run where it is cached; 0 means none.
+	Prefix uint64
+	Method string
 	// Path is the path and query on the backend server.
 	Path   string
 	Header http.Header
