Read the entries of the catalogue once for all workspaces

A change of the catalogue scanned all entries for each known workspace: 22,000 entries times some hundred workspaces at target size. Not measured.

--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -134,6 +134,19 @@
 	}
 }
 
+// Guards against limits of a new catalogue that do not reach the workspaces of
+// the queue, and against entries of other workspaces that do.
+func TestCatalogueLimits(t *testing.T) {
+	c := newCell(t)
+	enqueue(c, start, "1", "2", "3")
+	entry := galenalatch.Entry{Workspace: "w", Class: galenalatch.Interactive, Weight: 1, MaxRunning: 1}
+	other := galenalatch.Entry{Workspace: "v", Class: galenalatch.Interactive, Weight: 1, MaxRunning: 9}
+	c.SetCatalogue(start, galenalatch.Catalogue{Pools: []galenalatch.Pool{pool}, Entries: []galenalatch.Entry{entry, other}})
+	assert.Equal(t, len(grantsOf(c.Tick(start))), 1)
+	c.SetCatalogue(start, galenalatch.Catalogue{Pools: []galenalatch.Pool{pool}, OutOfService: []galenalatch.DataCentre{"a"}})
+	assert.Equal(t, len(grantsOf(c.Tick(start))), 0)
+}
+
 // Guards against a cell that earns credit while it is quiet or separated from
 // the other cells.
 func TestVirtualTimeFollowsPeers(t *testing.T) {
--- a/internal/decide/cell/settings.go
+++ b/internal/decide/cell/settings.go
@@ -20,8 +20,14 @@
 		c.servers.SetLimits(p.ColdLimit, p.WarmLimit)
 	}
 	c.servers.SetInService(cat.InService)
-	for _, u := range c.queue.Names() {
-		c.setLimits(u)
+	known := make(map[galenalatch.WorkspaceName][]galenalatch.Entry)
+	for _, e := range cat.Entries {
+		if c.queue.Known(e.Workspace) {
+			known[e.Workspace] = append(known[e.Workspace], e)
+		}
+	}
+	for _, w := range c.queue.Names() {
+		c.setLimits(w, known[w])
 	}
 }
 
@@ -29,21 +35,21 @@
 // Limits are set on first use, since a cell meets few of all workspaces.
 func (c *Cell) learn(w galenalatch.WorkspaceName) {
 	if !c.queue.Known(w) {
-		c.setLimits(w)
+		c.setLimits(w, c.catalogue.Entries)
 	}
 }
 
-// setLimits combines the entries of a workspace. Each class has its own limit
+// setLimits combines the entries of a workspace among those given. Each class has its own limit
 // of running requests; the workspace's limit is their sum. A class without an
 // entry has the default limits.
-func (c *Cell) setLimits(w galenalatch.WorkspaceName) {
+func (c *Cell) setLimits(w galenalatch.WorkspaceName, among []galenalatch.Entry) {
 	classes := []galenalatch.Class{galenalatch.Interactive, galenalatch.Batch}
 	entries := map[galenalatch.Class]galenalatch.Entry{}
 	for _, k := range classes {
 		entries[k] = c.catalogue.DefaultLimits
 	}
 	weight := int64(0)
-	for _, e := range c.catalogue.Entries {
+	for _, e := range among {
 		if e.Workspace == w {
 			entries[e.Class] = e
 			weight = max(weight, e.Weight)
