--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -200,6 +200,10 @@
 		return
 	}
 	q := c.requests[w.Request]
+	if q == nil {
+		c.queue.Settle(w.Request, 0)
+		return
+	}
 	c.serial++
 	g := &grant{
 		serial: c.serial, request: q, router: q.router, server: t.Server, boot: t.Boot,
--- a/internal/decide/fairqueue/queue.go
+++ b/internal/decide/fairqueue/queue.go
@@ -22,6 +22,9 @@
 // division by a weight below a thousandth of a unit.
 const scale = 1000
 
+// maxAge bounds the age of a request that an entry reports.
+const maxAge = 24 * time.Hour
+
 // Queue holds the waiting requests of a cell and the counters of their
 // workspaces. It implements galenalatch.Policy.
 type Queue struct {
@@ -104,6 +107,7 @@
 	if q.requests[w.Request] != nil {
 		return nil
 	}
+	w.Bytes, w.AgeMillis = max(0, w.Bytes), min(max(0, w.AgeMillis), maxAge.Milliseconds())
 	s := q.workspace(w.Workspace)
 	c := &s.classes[index(w.Class)]
 	if n := s.limits.MaxWaiting; n > 0 && c.queue.Len() >= n {
@@ -172,10 +176,9 @@
 	if r == nil || r.element != nil {
 		return
 	}
-	units = max(0, units)
 	r.charge(units)
-	if units > 0 {
-		r.class.observe(units)
+	if r.charged > 0 {
+		r.class.observe(r.charged)
 	}
 	delete(q.requests, id)
 	r.workspace.running--
--- a/internal/decide/fairqueue/queue_test.go
+++ b/internal/decide/fairqueue/queue_test.go
@@ -92,6 +92,20 @@
 	assert.Equal(t, order(q, 1), "5 ")
 }
 
+// Guards against wrong reports of one entry that disturb all counters.
+func TestAbsurdValues(t *testing.T) {
+	q := New(100)
+	for i, v := range []int64{-1 << 62, 1 << 62} {
+		id := galenalatch.RequestID(fmt.Sprint(i))
+		assert.NilError(t, q.Add(start, galenalatch.Waiting{Request: id, Workspace: "a", Estimate: v, Bytes: v, AgeMillis: v}))
+		_, ok := q.Next(start)
+		assert.Assert(t, ok)
+		q.Charge(id, v)
+		q.Settle(id, v)
+		assert.Assert(t, q.Counter("a") >= 0 && q.Counter("a") <= maxUnits)
+	}
+}
+
 // Guards against a table that grows with every workspace ever seen, and against
 // credit or debt that is lost with a record.
 func TestForget(t *testing.T) {
--- a/internal/decide/fairqueue/workspace.go
+++ b/internal/decide/fairqueue/workspace.go
@@ -37,7 +37,12 @@
 	weight int64
 }
 
+// maxUnits bounds the cost of one request, so that a wrong report cannot make a
+// counter overflow.
+const maxUnits = 1 << 40
+
 func (r *request) charge(units int64) {
+	units = min(max(0, units), maxUnits)
 	d := (units - r.charged) * scale
 	r.charged = units
 	s := r.workspace
