--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -124,16 +124,18 @@
 func (e *Exchange) loop(ctx context.Context) error {
 	round := time.NewTicker(e.Interval)
 	defer round.Stop()
+	news := time.NewTimer(newsInterval)
+	defer news.Stop()
 	var told struct {
 		fresh  bool
 		reason freshness.Reason
 	}
 	for {
 		e.mu.Lock()
-		news := e.view.News()
+		holders := e.view.News()
 		fresh, reason := e.view.Fresh(time.Now())
 		e.mu.Unlock()
-		for _, h := range news {
+		for _, h := range holders {
 			e.HolderChanged(h)
 		}
 		if fresh != told.fresh || told.reason == "" {
@@ -145,23 +147,35 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.wake:
-			e.ask(newsInterval)
+			e.askNews(news)
+		case <-news.C:
+			e.askNews(news)
 		case <-round.C:
-			e.ask(0)
+			e.ask()
 		}
 	}
 }
 
-// ask asks the partners of a round. With a minimum of time since the last
-// round it does so only when the router holds a newer version than then, so
-// that a change does not wait for the next round at each hop.
-func (e *Exchange) ask(least time.Duration) {
+// askNews asks partners when the router holds a newer version than in the
+// last round, so that a change does not wait for the next round at each hop.
+// Soon after a round it sets the timer instead.
+func (e *Exchange) askNews(later *time.Timer) {
 	e.mu.Lock()
-	now := time.Now()
-	if least > 0 && (e.view.Held() == e.told || now.Sub(e.asked) < least) {
-		e.mu.Unlock()
-		return
+	news := e.view.Held() != e.told
+	wait := newsInterval - time.Since(e.asked)
+	e.mu.Unlock()
+	switch {
+	case news && wait > 0:
+		later.Reset(wait)
+	case news:
+		e.ask()
 	}
+}
+
+// ask asks the partners of a round.
+func (e *Exchange) ask() {
+	e.mu.Lock()
+	now := time.Now()
 	e.asked, e.told = now, e.view.Held()
 	var out []galenalatch.Outgoing
 	for _, r := range e.view.Partners(now, e.rand) {
