--- a/cmd/galenalatch/control_test.go
+++ b/cmd/galenalatch/control_test.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -109,7 +111,7 @@
 
 // request makes one call and prints the status and the body. A status from
 // 300 on is an error: request caller|operator ROUTER METHOD PATH TOKEN
-// [BODY|@FILE] [HEADER: VALUE]...
+// [BODY|large:BYTES] [HEADER: VALUE]...
 func (s *scenario) request(ts *testscript.TestScript, args []string) error {
 	if len(args) < 5 {
 		return errors.New("usage: request caller|operator router method path token [body] [header]...")
@@ -124,8 +126,12 @@
 	var body []byte
 	if len(args) > 5 {
 		body = []byte(args[5])
-		if f, ok := strings.CutPrefix(args[5], "@"); ok {
-			body = []byte(ts.ReadFile(f))
+		if n, ok := strings.CutPrefix(args[5], "large:"); ok {
+			size, err := strconv.Atoi(n)
+			if err != nil {
+				return err
+			}
+			body = bytes.Repeat([]byte("a"), size)
 		}
 	}
 	token := args[4]
@@ -135,7 +141,43 @@
 	case strings.HasPrefix(token, "w"):
 		token = keyOf(galenalatch.WorkspaceName(token))
 	}
+	began := time.Now()
 	status, text, err := send(args[2], "http://"+address+args[3], token, body, args[min(6, len(args)):]...)
+	ts.Logf("%s took %v", args[3], time.Since(began).Round(time.Millisecond))
 	_, _ = fmt.Fprintf(ts.Stdout(), "%d %s\n", status, text)
 	return err
 }
+
+// cut parts the routers of two lists, or joins them again:
+// cut on|off PATTERN[,PATTERN]... PATTERN[,PATTERN]...
+func (s *scenario) cut(_ *testscript.TestScript, args []string) error {
+	if len(args) != 3 {
+		return errors.New("usage: cut on|off patterns patterns")
+	}
+	left, err := s.names(strings.Split(args[1], ",")...)
+	if err != nil {
+		return err
+	}
+	right, err := s.names(strings.Split(args[2], ",")...)
+	if err != nil {
+		return err
+	}
+	for _, a := range left {
+		for _, b := range right {
+			if err := errors.Join(s.block(a, b, args[0] == "on"), s.block(b, a, args[0] == "on")); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *scenario) block(at, other string, blocked bool) error {
+	r, err := s.router(at)
+	if err != nil || at == other {
+		return err
+	}
+	url := fmt.Sprintf("http://%s/debug/links/%s?blocked=%t", r.Debug.Listen, other, blocked)
+	_, _, err = send(http.MethodPut, url, tokens["GALENALATCH_OPERATOR_TOKEN"], nil)
+	return err
+}
--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -177,6 +177,10 @@
 			return
 		}
 		p := c.neediest(now)
+		if !c.lapsed && c.leaseExpires.Sub(now) < c.cfg.LoanTerm {
+			// A successor of this holder would not know of the slot.
+			p = nil
+		}
 		switch {
 		case c.queue.Ready() > 0 && (p == nil || c.queue.VirtualTime() <= p.virtualTime+c.cfg.LendTolerance):
 			c.grant(now, t, nil)
@@ -210,6 +214,7 @@
 		g.serverCell = o.key.lender
 		g.message.ServerCell, g.message.ServerEpoch, g.message.Slot = o.key.lender, o.epoch, o.key.slot
 		o.become(used, now)
+		o.grant = g
 	} else {
 		c.servers.Start(now, g.serial, t.Server, t.Boot)
 	}
--- a/internal/decide/cell/routers.go
+++ b/internal/decide/cell/routers.go
@@ -87,18 +87,21 @@
 		if r.down.IsZero() || r.freed || now.Sub(r.down) < c.cfg.RouterGone {
 			continue
 		}
-		c.dropRouter(now, id)
+		if c.dropRouter(now, id) {
+			c.gone = append(c.gone, id)
+		}
 		r.freed = true
 	}
 }
 
 // dropRouter ends the requests of a router that are gone. Nobody confirmed
 // that their servers have stopped working on them, so the servers get no new
-// work before their next load reports.
-func (c *Cell) dropRouter(now time.Time, id galenalatch.RouterID) {
+// work before their next load reports. It reports whether slots were freed.
+func (c *Cell) dropRouter(now time.Time, id galenalatch.RouterID) (freed bool) {
 	for _, n := range slices.Sorted(maps.Keys(c.grants)) {
 		if g := c.grants[n]; g.router == id {
 			c.end(now, g, ending{assumed: true, units: g.units})
+			freed = true
 		}
 	}
 	for n, q := range c.requests {
@@ -108,6 +111,15 @@
 			delete(c.requests, n)
 		}
 	}
+	return freed
+}
+
+// Gone returns the routers whose slots were freed since the last call,
+// because they had been disconnected for too long.
+func (c *Cell) Gone() []galenalatch.RouterID {
+	gone := c.gone
+	c.gone = nil
+	return gone
 }
 
 // report takes in what an entry has waiting and running.
@@ -116,7 +128,7 @@
 		return
 	}
 	r := c.router(from)
-	if m.Epoch == c.cfg.Epoch {
+	if m.Epoch == c.cfg.Epoch && !m.More {
 		r.reported = true
 	}
 	seen := make(map[uint64]bool, len(m.Running))
@@ -140,11 +152,11 @@
 // adopt records a running request of an entry's report. It may run on a slot
 // of this cell that was lent to another cell.
 func (c *Cell) adopt(now time.Time, from galenalatch.RouterID, n galenalatch.Running) {
-	if g := c.grants[n.Serial]; g != nil {
+	if g := c.find(n.Request, n.Serial); g != nil {
 		c.confirm(now, g, n.Units)
 		return
 	}
-	if _, over := c.ended[n.Serial]; over {
+	if _, over := c.ended[n.Serial]; over && n.Serial != 0 {
 		return
 	}
 	if n.Home != c.cfg.ID {
@@ -153,6 +165,10 @@
 		}
 		return
 	}
+	if n.Serial == 0 {
+		c.serial++
+		n.Serial = c.serial
+	}
 	q := c.requests[n.Request]
 	if q == nil {
 		q = &request{router: from}
@@ -165,6 +181,7 @@
 	}
 	if n.Slot != "" {
 		g.offer = c.restoreOffer(now, n)
+		g.offer.grant = g
 	} else {
 		c.servers.Start(now, n.Serial, n.Server, n.Boot)
 	}
--- a/internal/peer/link/peer.go
+++ b/internal/peer/link/peer.go
@@ -31,6 +31,7 @@
 	turn    chan struct{}
 	blocked atomic.Bool
 	in, out atomic.Int64
+	sent    atomic.Int64
 
 	mu       sync.Mutex
 	address  string
@@ -72,19 +73,21 @@
 	return len(p.queue) > 0 || p.writing
 }
 
-func (p *peer) push(b []byte) bool {
+// push reports whether the message was queued, and otherwise whether the
+// queue is full.
+func (p *peer) push(b []byte) (queued, full bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.queue) >= p.mesh.MaxQueued || p.bytes+len(b) > p.mesh.MaxQueuedBytes {
-		return false
+		return false, true
 	}
 	if p.session == nil && !p.dialling {
 		if p.address == "" || time.Now().Before(p.retryAt) {
-			return false
+			return false, false
 		}
 		ctx, ok := p.mesh.spawn()
 		if !ok {
-			return false
+			return false, false
 		}
 		p.dialling = true
 		go p.run(ctx)
@@ -92,7 +95,7 @@
 	p.queue = append(p.queue, b)
 	p.bytes += len(b)
 	signal(p.wake)
-	return true
+	return true, false
 }
 
 // take returns the oldest messages that fit into one frame, for the current
@@ -129,7 +132,7 @@
 	}
 	p.mu.Unlock()
 	if err != nil {
-		p.mesh.Failed(p.id, err)
+		p.failed(err)
 		return
 	}
 	s.run()
@@ -165,6 +168,15 @@
 	p.failures++
 }
 
+// failed tells why there is no connection. A connection that was closed in
+// favour of another one is no failure.
+func (p *peer) failed(err error) {
+	if (errors.Is(err, errBothDial) || errors.Is(err, errReplaced)) && p.connected() {
+		return
+	}
+	p.mesh.Failed(p.id, err)
+}
+
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
 }
@@ -217,5 +229,5 @@
 func (p *peer) traffic() Traffic {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Traffic{In: p.in.Load(), Out: p.out.Load(), Queued: len(p.queue), Connected: p.session != nil}
+	return Traffic{In: p.in.Load(), Out: p.out.Load(), Sent: p.sent.Load(), Queued: len(p.queue), Connected: p.session != nil}
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -62,6 +62,10 @@
 	Claims Claims
 	// Observer receives measurements; nil means none.
 	Observer Observer
+	// Unused is told why a grant was not used, and Retried why a request
+	// runs again; nil means that nobody is told.
+	Unused  func(galenalatch.Request, galenalatch.Grant, error)
+	Retried func(galenalatch.Request, galenalatch.Grant, error)
 	// MaxWait bounds the wait for a grant, for each class.
 	MaxWait map[galenalatch.Class]time.Duration
 }
@@ -88,7 +92,6 @@
 	changed  chan struct{}
 	reported map[galenalatch.CellID]reportedTo
 	unsent   []finished
-	units    map[unitsKey]float64
 }
 
 // New returns an entry. Run must be called for it to work.
@@ -102,6 +105,13 @@
 	if o.Observer == nil {
 		o.Observer = discard{}
 	}
+	ignore := func(galenalatch.Request, galenalatch.Grant, error) {}
+	if o.Unused == nil {
+		o.Unused = ignore
+	}
+	if o.Retried == nil {
+		o.Retried = ignore
+	}
 	return &Entry{
 		options:  o,
 		base:     time.Now(),
@@ -112,7 +122,6 @@
 		leases:   make(map[galenalatch.CellID]lease),
 		changed:  make(chan struct{}),
 		reported: make(map[galenalatch.CellID]reportedTo),
-		units:    make(map[unitsKey]float64),
 	}
 }
 
--- a/internal/process/entry/entry_test.go
+++ b/internal/process/entry/entry_test.go
@@ -33,6 +33,8 @@
 	out      bool
 	stale    bool
 	finishes []galenalatch.Finish
+	reports  int
+	confirm  bool
 	runs     int
 	claims   fakeClaims
 }
@@ -83,7 +85,7 @@
 	defer b.mu.Unlock()
 	switch m := m.(type) {
 	case galenalatch.LeaseAsk:
-		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.epoch, Echo: m.Stamp, RemainingMillis: b.remain}
+		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.epoch, Echo: m.Stamp, RemainingMillis: b.remain, Reported: b.confirm}
 		time.AfterFunc(time.Millisecond, func() { b.entry.Handle("d", s) })
 	case galenalatch.Enqueue:
 		if b.grant == nil {
@@ -94,6 +96,8 @@
 			DataCentre: "a", Boot: "b1", ServerCell: cell, ServerEpoch: 1}
 		b.grant(&g)
 		time.AfterFunc(2*time.Millisecond, func() { b.entry.Handle("d", g) })
+	case galenalatch.Report:
+		b.reports++
 	case galenalatch.Finish:
 		b.finishes = append(b.finishes, m)
 	}
@@ -285,3 +289,46 @@
 		}
 	})
 }
+
+// Guards against reports that are too large for one message, and against
+// records that are lost between the parts.
+func TestReportParts(t *testing.T) {
+	for _, tc := range []struct{ waits, runs, parts int }{
+		{0, 0, 1}, {400, 0, 1}, {401, 0, 2}, {300, 500, 2}, {10, 1200, 4},
+	} {
+		all := galenalatch.Report{
+			Waiting: make([]galenalatch.Waiting, tc.waits),
+			Running: make([]galenalatch.Running, tc.runs),
+		}
+		list := parts(all)
+		assert.Equal(t, len(list), tc.parts)
+		waits, runs := 0, 0
+		for i, m := range list {
+			assert.Equal(t, m.More, i < len(list)-1)
+			assert.Assert(t, len(m.Waiting)+len(m.Running) <= maxRecords)
+			waits += len(m.Waiting)
+			runs += len(m.Running)
+		}
+		assert.Equal(t, waits, tc.waits)
+		assert.Equal(t, runs, tc.runs)
+	}
+}
+
+// Guards against a report that is lost because its holder had not opened the
+// cell yet: the holder would wait for it in vain.
+func TestReportIsRepeatedUntilConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = b.entry.Run(ctx) }()
+		<-time.After(1250 * time.Millisecond)
+		b.mu.Lock()
+		assert.Equal(t, b.reports, 3)
+		b.confirm = true
+		b.mu.Unlock()
+		<-time.After(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, b.reports, 4)
+	})
+}
--- a/internal/process/entry/report.go
+++ b/internal/process/entry/report.go
@@ -14,9 +14,15 @@
 	progressEvery = time.Second
 )
 
-// reportedTo is the holder that has the entry's report of a cell.
+// reportAgain is the time after which a report that its holder has not
+// confirmed is sent again.
+const reportAgain = 500 * time.Millisecond
+
+// reportedTo is the holder to which the entry's report of a cell was sent.
 type reportedTo struct {
-	holder galenalatch.Holder
+	holder    galenalatch.Holder
+	sent      time.Time
+	confirmed bool
 }
 
 // Run moves waiting requests to their homes and reports to dispatchers until
@@ -62,11 +68,17 @@
 }
 
 // reportNew sends a report to each holder that does not have one, even an
-// empty one: a new holder waits for the reports of all routers.
+// empty one: a new holder waits for the reports of all routers. A report that
+// arrives before the holder has opened its cell is lost, hence the repetition
+// until the holder confirms it.
 func (e *Entry) reportNew(now time.Time) {
 	for _, c := range e.options.Directory().AllCells() {
 		h, ok := e.options.Holder(c)
-		if !ok || e.reported[c].holder == h {
+		if !ok {
+			continue
+		}
+		t := e.reported[c]
+		if t.holder == h && (t.confirmed || now.Sub(t.sent) < reportAgain) {
 			continue
 		}
 		e.report(now, c)
@@ -79,19 +91,46 @@
 	if !ok {
 		return
 	}
-	m := galenalatch.Report{Cell: c, Epoch: h.Epoch}
+	var all galenalatch.Report
 	for _, p := range e.pending {
 		if p.holder.Cell == c {
-			m.Waiting = append(m.Waiting, p.waiting(now))
+			all.Waiting = append(all.Waiting, p.waiting(now))
 		}
 	}
 	for _, r := range e.running {
 		if r.grant.Cell == c || r.grant.ServerCell == c {
-			m.Running = append(m.Running, r.report())
+			all.Running = append(all.Running, r.report())
 		}
 	}
-	if e.options.Send(h.Router, m) {
-		e.reported[c] = reportedTo{holder: h}
+	sent := true
+	for _, m := range parts(all) {
+		m.Cell, m.Epoch = c, h.Epoch
+		sent = sent && e.options.Send(h.Router, m)
+	}
+	if sent {
+		e.reported[c] = reportedTo{holder: h, sent: now}
+		e.options.Send(h.Router, galenalatch.LeaseAsk{Cell: c, Stamp: int64(now.Sub(e.base))})
+	}
+}
+
+// maxRecords bounds the records of one part of a report. A record has at most
+// about 400 bytes, so a part stays below the 256 KB of a message.
+const maxRecords = 400
+
+// parts divides a report into messages. An empty report is one message.
+func parts(all galenalatch.Report) []galenalatch.Report {
+	var list []galenalatch.Report
+	for {
+		var m galenalatch.Report
+		n := min(maxRecords, len(all.Running))
+		m.Running, all.Running = all.Running[:n], all.Running[n:]
+		n = min(maxRecords-n, len(all.Waiting))
+		m.Waiting, all.Waiting = all.Waiting[:n], all.Waiting[n:]
+		m.More = len(all.Running)+len(all.Waiting) > 0
+		list = append(list, m)
+		if !m.More {
+			return list
+		}
 	}
 }
 
--- a/internal/process/entry/task.go
+++ b/internal/process/entry/task.go
@@ -51,6 +51,7 @@
 		}
 		if galenalatch.OutcomeOf(err) == galenalatch.NotRun {
 			returned++
+			t.entry.options.Unused(t.request, g, err)
 			if returned >= maxReturned || !retryable[galenalatch.KindOf(err)] {
 				return err
 			}
@@ -59,6 +60,7 @@
 		if !t.request.Repeatable || t.meter.sentHead() || t.sent >= maxSent {
 			return err
 		}
+		t.entry.options.Retried(t.request, g, err)
 	}
 }
 
@@ -75,7 +77,7 @@
 func (t *task) await(ctx context.Context) (galenalatch.Grant, error) {
 	e := t.entry
 	began := time.Now()
-	p := e.queue(t.request, t.pool)
+	p := e.queue(t.request)
 	limit := time.NewTimer(time.Until(t.deadline))
 	defer limit.Stop()
 	select {
@@ -108,9 +110,6 @@
 		return err
 	}
 	units := max(usage.Units(t.pool), t.meter.attemptUnits())
-	if err == nil {
-		e.learn(t.request, units)
-	}
 	if err != nil && galenalatch.OutcomeOf(err) == galenalatch.NotRun {
 		units = 0
 	}
--- a/internal/process/router/status.go
+++ b/internal/process/router/status.go
@@ -7,6 +7,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/operator/message"
 	"github.com/galenalatch/galenalatch/internal/operator/status"
+	"github.com/galenalatch/galenalatch/internal/peer/link"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
 
@@ -58,6 +59,11 @@
 	return s
 }
 
+// Traffic returns the traffic with each other router.
+func (r *Router) Traffic() map[galenalatch.RouterID]link.Traffic {
+	return r.mesh.Stats()
+}
+
 // onChange logs and counts an operator's request for a change.
 func (r *Router) onChange(ch galenalatch.Change, m message.Result, err error) {
 	r.metrics.Changed(err)
@@ -94,12 +100,5 @@
 		o.router.log.Event(events.RequestEnded, "request", q.ID, "workspace", q.Workspace, "pool", q.Pool, "took", took, "units", units)
 		return
 	}
-	n := events.RequestRefused
-	switch galenalatch.OutcomeOf(err) {
-	case galenalatch.OutcomeUnknown:
-		n = events.OutcomeUnknown
-	case galenalatch.Broken:
-		n = events.StreamBroken
-	}
-	o.router.log.Event(n, "request", q.ID, "workspace", q.Workspace, "pool", q.Pool, "error", err)
+	o.router.log.Event(endEvent(err), "request", q.ID, "workspace", q.Workspace, "pool", q.Pool, "error", err)
 }
--- a/message.go
+++ b/message.go
@@ -95,6 +95,9 @@
 	Epoch   Epoch     `cbor:"epoch"`
 	Waiting []Waiting `cbor:"waiting"`
 	Running []Running `cbor:"running"`
+	// More says that another part of the report follows, because one
+	// message could not hold it.
+	More bool `cbor:"more,omitempty"`
 }
 
 // Enqueue asks the holder of a home cell for a grant.
@@ -188,6 +191,8 @@
 	Echo            int64  `cbor:"echo"`
 	RemainingMillis int64  `cbor:"remainingMillis"`
 	Lapsed          bool   `cbor:"lapsed"`
+	// Reported says that the holder has the asker's report.
+	Reported bool `cbor:"reported,omitempty"`
 }
 
 // Summary is the state of a cell for the other cells of its pool.
@@ -216,8 +221,8 @@
 	// ToEpoch is the epoch of the borrowing holder. Holders of other epochs
 	// must not use the slot.
 	ToEpoch Epoch `cbor:"toEpoch"`
-	// Ask asks what became of the slot and is no offer. A borrower that does
-	// not use the slot answers with GiveBack.
+	// Ask asks what became of the slot and is no offer. The borrower answers
+	// with GiveBack.
 	Ask bool `cbor:"ask,omitempty"`
 }
 
@@ -232,6 +237,9 @@
 	Completed bool   `cbor:"completed"`
 	// Assumed says that the borrower has no entry's word for the end.
 	Assumed bool `cbor:"assumed,omitempty"`
+	// InUse answers a question: the slot is not returned, and an entry has
+	// confirmed that a request runs on it.
+	InUse bool `cbor:"inUse,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
