--- a/internal/peer/link/peer.go
+++ b/internal/peer/link/peer.go
@@ -31,6 +31,7 @@
 	turn    chan struct{}
 	blocked atomic.Bool
 	in, out atomic.Int64
+	sent    atomic.Int64
 
 	mu       sync.Mutex
 	address  string
@@ -131,7 +132,7 @@
 	}
 	p.mu.Unlock()
 	if err != nil {
-		p.mesh.Failed(p.id, err)
+		p.failed(err)
 		return
 	}
 	s.run()
@@ -167,6 +168,15 @@
 	p.failures++
 }
 
+// failed tells why there is no connection. A connection that was closed in
+// favour of another one is no failure.
+func (p *peer) failed(err error) {
+	if (errors.Is(err, errBothDial) || errors.Is(err, errReplaced)) && p.connected() {
+		return
+	}
+	p.mesh.Failed(p.id, err)
+}
+
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
 }
@@ -219,5 +229,5 @@
 func (p *peer) traffic() Traffic {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Traffic{In: p.in.Load(), Out: p.out.Load(), Queued: len(p.queue), Connected: p.session != nil}
+	return Traffic{In: p.in.Load(), Out: p.out.Load(), Sent: p.sent.Load(), Queued: len(p.queue), Connected: p.session != nil}
 }
