--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -153,12 +153,16 @@
 }
 
 func (r *Router) onFailed(p galenalatch.RouterID, err error) {
-	if _, was := r.links.LoadAndDelete(p); !was {
+	_, was := r.links.LoadAndDelete(p)
+	if !was {
 		// The end of a connection is no failure: a new one may work.
 		r.failures.Store(p, time.Now())
 	}
-	if !errors.Is(err, context.Canceled) {
+	if errors.Is(err, context.Canceled) {
 		// The connections of a router that stops are not lost.
+		return
+	}
+	if was || r.occasional.due(time.Now(), "lost "+string(p)) {
 		r.log.Event(events.PeerLost, "peer", p, "error", err)
 	}
 }
