Recompute ranks, holders and hosted cells only when they changed

Every router listed the holders of all cells for each hosted cell 20 times a second, ranked itself for all cells 4 times a second and marked each hosted cell as changed 20 times a second, although nothing had changed. The holders are now read at most 5 times a second and once for all hosted cells, the ranks follow a new directory, the held cells and draining, a holder is published once, and a cell ticks on a refresh only when its lease, directory or peers differ.

--- a/internal/decide/directory/directory.go
+++ b/internal/decide/directory/directory.go
@@ -20,6 +20,7 @@
 	cells     map[galenalatch.PoolName][]galenalatch.CellID
 	servers   map[galenalatch.CellID][]galenalatch.Instance
 	out       map[galenalatch.DataCentre]bool
+	all       []galenalatch.CellID
 
 	// candidates are computed when they are first needed.
 	once       sync.Once
@@ -53,6 +54,9 @@
 	for p, ids := range d.cells {
 		d.cells[p] = sortedCells(ids)
 	}
+	for _, p := range slices.Sorted(maps.Keys(d.cells)) {
+		d.all = append(d.all, d.cells[p]...)
+	}
 	return d
 }
 
@@ -103,13 +107,9 @@
 	return d.cells[p]
 }
 
-// AllCells returns the cells of all pools.
+// AllCells returns the cells of all pools. The list must not be changed.
 func (d *Directory) AllCells() []galenalatch.CellID {
-	var all []galenalatch.CellID
-	for _, p := range slices.Sorted(maps.Keys(d.cells)) {
-		all = append(all, d.cells[p]...)
-	}
-	return all
+	return d.all
 }
 
 // Servers returns the backend servers of a cell.
--- a/internal/platform/leases/store.go
+++ b/internal/platform/leases/store.go
@@ -156,6 +156,21 @@
 	return states
 }
 
+// Own returns the states of the cells that this router holds as far as it
+// knows.
+func (s *Store) Own() map[galenalatch.CellID]State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	states := make(map[galenalatch.CellID]State)
+	for id, c := range s.cells {
+		if c.lease.Epoch() != 0 {
+			states[id] = c.state(now)
+		}
+	}
+	return states
+}
+
 func (c *cell) state(now time.Time) State {
 	l := c.lease
 	st := State{
--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -14,6 +14,9 @@
 const (
 	// refreshEvery is how often lease states and the directory are read.
 	refreshEvery = 50 * time.Millisecond
+	// holdersEvery is how often the holders of all cells are read. The work
+	// grows with the number of cells of the fleet.
+	holdersEvery = 200 * time.Millisecond
 	// inboxLength bounds the messages that wait for the host.
 	inboxLength = 4096
 )
@@ -56,6 +59,12 @@
 	// handovers are kept for cells whose lease is not yet held.
 	handovers map[galenalatch.CellID]handover
 	stopped   bool
+
+	// holders is the newest list of holders, holdersSeen the number of
+	// different lists so far.
+	holders     []galenalatch.Holder
+	holdersSeen uint64
+	holdersRead time.Time
 }
 
 // handover is a message that arrived before its cell was opened.
@@ -69,7 +78,10 @@
 	cell      *cell.Cell
 	epoch     galenalatch.Epoch
 	directory *directory.Directory
-	dirty     bool
+	lease     LeaseState
+	// holders is the number of the list of holders that the cell has.
+	holders uint64
+	dirty   bool
 }
 
 // event is one input of the loop; its fields are alternatives.
--- a/internal/process/dispatch/refresh.go
+++ b/internal/process/dispatch/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
@@ -12,6 +13,13 @@
 // date.
 func (h *Host) refresh(ctx context.Context, now time.Time) {
 	leases := h.options.Leases()
+	if len(leases) > 0 && now.Sub(h.holdersRead) >= holdersEvery {
+		h.holdersRead = now
+		if all := h.options.Holders(); !slices.Equal(all, h.holders) {
+			h.holders = all
+			h.holdersSeen++
+		}
+	}
 	for id, c := range h.cells {
 		if l, ok := leases[id]; !ok || l.Epoch != c.epoch {
 			delete(h.cells, id)
@@ -25,7 +33,11 @@
 				continue
 			}
 		}
-		c.cell.SetLease(l.Expires, l.Lapsed)
+		if l != c.lease {
+			c.lease = l
+			c.cell.SetLease(l.Expires, l.Lapsed)
+			c.dirty = true
+		}
 		h.refreshDirectory(now, id, c)
 	}
 	h.refreshPollers(ctx)
@@ -71,9 +83,14 @@
 			routers = append(routers, galenalatch.RouterID(r.ID))
 		}
 		c.cell.SetRouters(now, routers)
+		c.dirty = true
+	}
+	if c.holders == h.holdersSeen {
+		return
 	}
+	c.holders = h.holdersSeen
 	var peers []galenalatch.Holder
-	for _, p := range h.options.Holders() {
+	for _, p := range h.holders {
 		if p.Cell.Pool == id.Pool && p.Cell != id {
 			peers = append(peers, p)
 		}
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -190,7 +190,7 @@
 
 func (r *Router) heldLeases() map[galenalatch.CellID]dispatch.LeaseState {
 	held := make(map[galenalatch.CellID]dispatch.LeaseState)
-	for c, s := range r.leases.States() {
+	for c, s := range r.leases.Own() {
 		if s.Held || s.Lapsed {
 			held[c] = dispatch.LeaseState{Epoch: s.Epoch, Expires: s.Expires, Lapsed: s.Lapsed, Unconfirmed: s.Unconfirmed, Released: s.Epoch > 1 && !s.Unconfirmed}
 		}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/connection"
 	"github.com/galenalatch/galenalatch/internal/config/settings"
+	"github.com/galenalatch/galenalatch/internal/decide/directory"
 	"github.com/galenalatch/galenalatch/internal/peer/gossip"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
 	"github.com/galenalatch/galenalatch/internal/platform/catalogue"
@@ -132,10 +134,15 @@
 func (r *Router) loopRanks(ctx context.Context) error {
 	tick := time.NewTicker(ranksEvery)
 	defer tick.Stop()
+	var last ranksInput
+	published := make(map[galenalatch.CellID]galenalatch.Holder)
 	for {
 		if r.fleet.Seen() {
-			r.leases.SetCells(r.ranks())
-			r.publishHolders()
+			if in := r.ranksInput(); !in.same(last) {
+				last = in
+				r.leases.SetCells(in.ranks(r.settings.ID))
+			}
+			r.publishHolders(published)
 		}
 		r.setReady()
 		select {
@@ -146,23 +153,40 @@
 	}
 }
 
+// ranksInput is what the router's places among the candidates follow from.
+type ranksInput struct {
+	directory *directory.Directory
+	draining  bool
+	held      map[galenalatch.CellID]bool
+}
+
+func (r *Router) ranksInput() ranksInput {
+	in := ranksInput{directory: r.fleet.Directory(), draining: r.draining.Load(), held: make(map[galenalatch.CellID]bool)}
+	for c := range r.heldLeases() {
+		in.held[c] = true
+	}
+	return in
+}
+
+func (in ranksInput) same(o ranksInput) bool {
+	return in.directory == o.directory && in.draining == o.draining && maps.Equal(in.held, o.held)
+}
+
 // ranks returns the router's place among the candidates of each cell. Each
 // cell that it holds already moves it back by one place, so that the cells
 // spread over the routers.
-func (r *Router) ranks() map[galenalatch.CellID]int {
-	d := r.fleet.Directory()
-	held := r.heldLeases()
+func (in ranksInput) ranks(self galenalatch.RouterID) map[galenalatch.CellID]int {
 	ranks := make(map[galenalatch.CellID]int)
-	for _, c := range d.AllCells() {
+	for _, c := range in.directory.AllCells() {
 		ranks[c] = -1
-		if r.draining.Load() {
+		if in.draining {
 			continue
 		}
-		others := len(held)
-		if _, own := held[c]; own {
+		others := len(in.held)
+		if in.held[c] {
 			others--
 		}
-		ranks[c] = slices.Index(d.Candidates(c), r.settings.ID)
+		ranks[c] = slices.Index(in.directory.Candidates(c), self)
 		if ranks[c] >= 0 {
 			ranks[c] += others
 		}
--- a/internal/process/router/views.go
+++ b/internal/process/router/views.go
@@ -71,10 +71,12 @@
 	return r.gossip.Accepted(v)
 }
 
-// publishHolders tells the other routers which holders the lease rows name.
-func (r *Router) publishHolders() {
+// publishHolders tells the other routers which holders the lease rows name,
+// unless that was published before.
+func (r *Router) publishHolders(published map[galenalatch.CellID]galenalatch.Holder) {
 	for c, s := range r.leases.States() {
-		if h, ok := r.rowHolder(c, s); ok {
+		if h, ok := r.rowHolder(c, s); ok && h != published[c] {
+			published[c] = h
 			r.gossip.SetHolder(h)
 		}
 	}
