platform/instances: read the instance list conditionally

Every router reads the list each second, and a list of 1,000 instances has more than 100 KB, seven times the whole budget of a node. The client sends the entity tag of its newest list, and the platform answers 304 without a body while the list is the same (RFC 9110). The stand-in's tag is a hash of the list.

--- a/internal/platform/call/caller.go
+++ b/internal/platform/call/caller.go
@@ -96,7 +96,8 @@
 	return strings.Trim(r.Header.Get("ETag"), `"`)
 }
 
-// Do makes a call. Statuses 200 to 299 are returned. Other results are errors
+// Do makes a call. Statuses 200 to 299 are returned, and 304 to a call with
+// If-None-Match. Other results are errors
 // of the kinds that galenalatch.Table documents.
 func (c *Caller) Do(ctx context.Context, q Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -132,6 +133,8 @@
 	case status == http.StatusServiceUnavailable, status >= 400 && status < 500:
 		// The platform refused the call before it had any effect.
 		return Response{}, galenalatch.KindPlatformDown.Errorf("%s %s: status %d", q.Method, q.Path, status)
+	case status == http.StatusNotModified && q.Header.Get("If-None-Match") != "":
+		return Response{Status: status, Header: resp.Header}, nil
 	case status < 200 || status > 299:
 		return Response{}, failed(fmt.Errorf("status %d", status))
 	}
--- a/internal/platform/instances/client.go
+++ b/internal/platform/instances/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/platform/call"
@@ -13,6 +14,13 @@
 // Client implements galenalatch.InstanceList.
 type Client struct {
 	caller *call.Caller
+
+	// The newest list is kept, since a platform that sends an entity tag
+	// answers without a body while the list is the same. A list of 1,000
+	// instances has more than 100 KB, and every router reads it each second.
+	mu   sync.Mutex
+	tag  string
+	list []galenalatch.Instance
 }
 
 var _ galenalatch.InstanceList = (*Client)(nil)
@@ -22,17 +30,30 @@
 	return &Client{caller: c}
 }
 
-// List implements galenalatch.InstanceList.
+// List implements galenalatch.InstanceList. The list must not be changed.
 func (c *Client) List(ctx context.Context) ([]galenalatch.Instance, error) {
-	resp, err := c.caller.Do(ctx, call.Request{Method: http.MethodGet, Path: "instances"})
+	q := call.Request{Method: http.MethodGet, Path: "instances", Header: http.Header{}}
+	c.mu.Lock()
+	tag, known := c.tag, c.list
+	c.mu.Unlock()
+	if tag != "" {
+		q.Header.Set("If-None-Match", tag)
+	}
+	resp, err := c.caller.Do(ctx, q)
 	if err != nil {
 		return nil, err
 	}
+	if resp.Status == http.StatusNotModified {
+		return known, nil
+	}
 	var list struct {
 		Instances []galenalatch.Instance `json:"instances"`
 	}
 	if err := json.Unmarshal(resp.Body, &list); err != nil {
 		return nil, galenalatch.KindPlatformDown.Errorf("instance list: %w", err)
 	}
+	c.mu.Lock()
+	c.tag, c.list = resp.Header.Get("ETag"), list.Instances
+	c.mu.Unlock()
 	return list.Instances, nil
 }
--- a/internal/standin/platform/lists.go
+++ b/internal/standin/platform/lists.go
@@ -5,6 +5,9 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenalatch/galenalatch"
 )
@@ -69,7 +72,12 @@
 		if !s.faults.FreezeInstances {
 			list = s.instanceList()
 		}
-		return document(map[string]any{"instances": list})
+		a := document(map[string]any{"instances": list})
+		a.tag = strconv.FormatUint(xxhash.Sum64(a.body), 36)
+		if newCondition(c.header).notModified(a.tag) {
+			return answer{status: http.StatusNotModified, tag: a.tag}
+		}
+		return a
 	case c.key != "" && c.method == http.MethodPut:
 		var i galenalatch.Instance
 		if json.Unmarshal(c.body, &i) != nil || i.ID != "" && i.ID != c.key {
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -93,6 +93,21 @@
 	})
 }
 
+// TestUnchangedInstances guards against a list that is sent again although it
+// is the same, and against an old list after a change.
+func TestUnchangedInstances(t *testing.T) {
+	s := platform.New(platform.WithToken("secret"))
+	c := instances.New(caller(t, s))
+	for i, id := range []string{"a", "a", "b", "b"} {
+		assert.NilError(t, s.SetInstance(galenalatch.Instance{ID: id, Role: galenalatch.RouterRole}))
+		before := s.Stats().BytesRead
+		list, err := c.List(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, list[len(list)-1].ID, id)
+		assert.Equal(t, s.Stats().BytesRead == before, i%2 == 1)
+	}
+}
+
 // TestInstances guards against an instance list that cannot lag, or that
 // loses fields.
 func TestInstances(t *testing.T) {
