platform/leases: list all rows less often in a large fleet

Every router listed the lease rows of all cells each 500 ms. Peers pass on new holders. A router reads the row every 500 ms while it is one of the first three candidates, while the result of an own write is not known, when the holder cannot be reached, and when the row was not renewed since the last read.

--- a/internal/load/slopes/connections.go
+++ b/internal/load/slopes/connections.go
@@ -101,12 +101,8 @@
 	state := live() - idle
 	sent, _ := hub()
 	used, began := cpu(), time.Now()
-	t := time.NewTimer(window)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return Point{}, ctx.Err()
-	case <-t.C:
+	if err := pause(ctx, window); err != nil {
+		return Point{}, err
 	}
 	seconds := time.Since(began).Seconds()
 	after, _ := hub()
--- a/internal/load/slopes/load.go
+++ b/internal/load/slopes/load.go
@@ -98,12 +98,8 @@
 
 // warm waits until all streams run, or until calls have run for a while.
 func (l *load) warm(ctx context.Context) error {
-	t := time.NewTimer(2 * time.Second)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
+	if err := pause(ctx, 2*time.Second); err != nil {
+		return err
 	}
 	return l.fleet.wait(func() (bool, error) {
 		l.mu.Lock()
--- a/internal/load/slopes/observe.go
+++ b/internal/load/slopes/observe.go
@@ -37,12 +37,8 @@
 		v["state B"] = live()
 	}
 	before := f.sums()
-	t := time.NewTimer(window)
-	defer t.Stop()
-	select {
-	case <-f.ctx.Done():
-		return nil, f.ctx.Err()
-	case <-t.C:
+	if err := pause(f.ctx, window); err != nil {
+		return nil, err
 	}
 	after := f.sums()
 	after.rates(before, v)
--- /dev/null
+++ b/internal/load/slopes/rows.go
@@ -0,0 +1,104 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/platform/call"
+	"github.com/galenalatch/galenalatch/internal/platform/leases"
+	"github.com/galenalatch/galenalatch/internal/platform/table"
+	"github.com/galenalatch/galenalatch/internal/standin/platform"
+)
+
+// rows measures what a router that is the ninth candidate of all cells reads
+// of the lease rows, in a fleet of 4 and of 400 routers. All sizes run at the
+// same time, since the time between two reads is up to 10 s.
+func rows(ctx context.Context, m *Measurement) ([]Point, error) {
+	sizes := []int{25, 50, 100, 200}
+	points := make([]Point, len(sizes))
+	errs := make(chan error, 2*len(sizes))
+	var mu sync.Mutex
+	for i, n := range sizes {
+		points[i] = Point{float64(n), make(map[string]float64)}
+		for _, fleet := range []int{4, 400} {
+			go func() {
+				v, err := watchRows(ctx, n, fleet, 5*m.window)
+				mu.Lock()
+				points[i].Values[fmt.Sprintf("platform B/s of one of %d", fleet)] = v
+				mu.Unlock()
+				errs <- err
+			}()
+		}
+	}
+	for range cap(errs) {
+		if err := <-errs; err != nil {
+			return nil, err
+		}
+	}
+	return points, nil
+}
+
+// watchRows returns the bytes a second that one router exchanges with the
+// platform to follow n held leases.
+func watchRows(ctx context.Context, n, fleet int, window time.Duration) (float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := platform.New()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	counted := &counter{Listener: l}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	defer func() { _ = server.Close() }()
+	go func() { _ = server.Serve(counted) }()
+
+	// The holder's calls do not pass through the counted listener.
+	direct, err := call.New("http://platform.invalid", call.WithTransport(s.Transport()))
+	if err != nil {
+		return 0, err
+	}
+	remote, err := call.New("http://" + l.Addr().String())
+	if err != nil {
+		return 0, err
+	}
+	holder := leases.New(table.New(direct), "router-000", "start")
+	watcher := leases.New(table.New(remote), "router-001", "start")
+	holder.SetCells(ranked(n, 0))
+	watcher.SetCells(ranked(n, 8))
+	watcher.SetRouters(fleet)
+	go func() { _ = holder.Run(ctx) }()
+	go func() { _ = watcher.Run(ctx) }()
+	if err := pause(ctx, settle); err != nil {
+		return 0, err
+	}
+	before := counted.bytes.Load()
+	if err := pause(ctx, window); err != nil {
+		return 0, err
+	}
+	return float64(counted.bytes.Load()-before) / window.Seconds(), nil
+}
+
+func ranked(n, rank int) map[galenalatch.CellID]int {
+	ranks := make(map[galenalatch.CellID]int)
+	for i := range n {
+		ranks[galenalatch.CellID{Pool: poolName(i % 27), DataCentre: dataCentres[i%len(dataCentres)], Index: i}] = rank
+	}
+	return ranks
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- a/internal/load/slopes/running.go
+++ b/internal/load/slopes/running.go
@@ -28,12 +28,8 @@
 		if err := grow(f, n); err != nil {
 			return nil, fmt.Errorf("growing to %d: %w", n, err)
 		}
-		t := time.NewTimer(settle)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return nil, ctx.Err()
-		case <-t.C:
+		if err := pause(ctx, settle); err != nil {
+			return nil, err
 		}
 		v, err := f.observe(m.window, true)
 		if err != nil {
--- a/internal/load/slopes/slopes.go
+++ b/internal/load/slopes/slopes.go
@@ -73,6 +73,7 @@
 		{"backlogged", "dispatcher", "backlogged workspaces in one cell", backlogged},
 		{"progress", "entry and dispatcher", "running requests in one progress message", progress},
 		{"workspaces", "entry", "workspaces in the catalogue", workspaces},
+		{"rows", "use of the platform", "lease rows that one router follows", rows},
 		{"connections", "entry and dispatcher", "connections of one router", connections},
 		{"routers", "entry and dispatcher", "routers", routers},
 		{"cells", "dispatcher", "cells of 4 routers, one backend server each", cells},
--- a/internal/platform/leases/run.go
+++ b/internal/platform/leases/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/galenalatch/galenalatch"
 )
 
@@ -86,21 +88,60 @@
 	return true
 }
 
-// read reads all rows if one is wanted.
+// read reads the rows that are wanted: those of the near cells one by one
+// while they are few, or else all rows in one list.
 func (s *Store) read(ctx context.Context) bool {
 	s.mu.Lock()
 	now := time.Now()
-	want := map[*cell]bool{}
-	due := false
+	list := !now.Before(s.nextList)
+	want := map[galenalatch.CellID]*cell{}
+	near, held := 0, 0
 	for _, c := range s.cells {
+		if c.lease.Epoch() != 0 {
+			held++
+		}
+	}
+	for id, c := range s.cells {
+		if !c.lease.ReadDue(now) {
+			continue
+		}
+		isNear := s.near(c, held)
+		if isNear {
+			near++
+		}
 		// Next could return a write, which must not be dropped.
-		want[c] = c.lease.ReadDue(now) && c.lease.Next(now).Read
-		due = due || want[c]
+		if (isNear || list) && c.lease.Next(now).Read {
+			want[id] = c
+		}
+	}
+	if list = len(want) > 0 && (list || near > maxSingle); list {
+		s.nextList = now.Add(s.listEvery)
 	}
 	s.mu.Unlock()
-	if !due {
+	switch {
+	case len(want) == 0:
 		return false
+	case list:
+		s.readList(ctx, want)
+	default:
+		s.readSingle(ctx, want)
+	}
+	return true
+}
+
+// near reports whether the row of a cell must be read often: the result of an
+// own write is not known, this router would take the cell over soon, or its
+// holder may be gone. Held cells have raised the rank, but not the place
+// among the candidates.
+func (s *Store) near(c *cell, held int) bool {
+	if !c.lease.Idle() || c.rank >= 0 && c.rank < nearRanks+held || c.unchanged {
+		return true
 	}
+	row, ok := c.lease.Row()
+	return ok && row.Holder != "" && !s.reachable(row.Holder)
+}
+
+func (s *Store) readList(ctx context.Context, want map[galenalatch.CellID]*cell) {
 	list, err := s.table.List(ctx, prefix)
 	rows := make(map[string]galenalatch.Row, len(list))
 	for _, r := range list {
@@ -108,22 +149,46 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now = time.Now()
-	for id, c := range s.cells {
-		wanted, started := want[c]
+	now := time.Now()
+	// A cell that was added after the read was sent is not observed.
+	for id, c := range want {
 		row, ok := rows[key(id)]
+		rowErr := err
+		if err == nil && !ok {
+			rowErr = galenalatch.KindNotFound.Errorf("no lease row of %s", id)
+		}
+		c.observe(now, row, rowErr, s.config.Renew)
+	}
+}
+
+// readSingle reads the rows at the same time, so that rows that hang delay
+// the next renewal no longer than one call.
+func (s *Store) readSingle(ctx context.Context, want map[galenalatch.CellID]*cell) {
+	var g errgroup.Group
+	for id, c := range want {
+		g.Go(func() error {
+			row, err := s.table.Get(ctx, key(id))
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			c.observe(time.Now(), row, err, s.config.Renew)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// observe takes in a row that was read. A row that is the same after more
+// than two renewals is that of a holder that may be gone.
+func (c *cell) observe(now time.Time, row galenalatch.Row, err error, renew time.Duration) {
+	if err == nil {
 		switch {
-		case !started:
-			// The cell was added after the read was sent.
-		case err != nil && wanted:
-			c.lease.Observe(now, galenalatch.Row{}, err)
-		case err == nil && ok:
-			c.lease.Observe(now, row, nil)
-		case err == nil:
-			c.lease.Observe(now, galenalatch.Row{}, galenalatch.KindNotFound.Errorf("no lease row of %s", id))
+		case row.Tag != c.tag:
+			c.tag, c.since, c.unchanged = row.Tag, now, false
+		case now.Sub(c.since) > 2*renew:
+			c.unchanged = true
 		}
 	}
-	return true
+	c.lease.Observe(now, row, err)
 }
 
 // tell notifies of changed states and removes dropped cells.
--- a/internal/platform/leases/store.go
+++ b/internal/platform/leases/store.go
@@ -21,6 +21,14 @@
 	prefix = "leases/"
 	// interval is the time between two steps of the state machines.
 	interval = 100 * time.Millisecond
+	// nearRanks is the number of first candidates of a cell that watch its
+	// row closely. The others look at it with the list of all rows.
+	nearRanks = 3
+	// maxSingle is the number of rows up to which they are read one by one.
+	maxSingle = 4
+	// listsPerSecond is how often all routers together list the rows. At 250
+	// rows, a list every 500 ms was 88 KB/s for each router.
+	listsPerSecond = 40
 )
 
 // State is what a router knows about the lease of a cell.
@@ -52,13 +60,23 @@
 	notify func(galenalatch.CellID, State)
 	wake   chan struct{}
 
-	mu    sync.Mutex
-	cells map[galenalatch.CellID]*cell
+	reachable func(galenalatch.RouterID) bool
+
+	mu        sync.Mutex
+	cells     map[galenalatch.CellID]*cell
+	listEvery time.Duration
+	nextList  time.Time
 }
 
 // cell is the lease of one cell.
 type cell struct {
 	lease *lease.Lease
+	rank  int
+	// tag is that of the newest row, since when it was first seen. unchanged
+	// says that the row should have been renewed since then.
+	tag       string
+	since     time.Time
+	unchanged bool
 	// told is the state of the last notification.
 	told State
 	// dropped says that the cell is removed once its lease is idle.
@@ -84,6 +102,20 @@
 	}
 }
 
+// WithReachable sets a function that reports whether a router can be reached.
+// The rows of those that cannot are read often.
+func WithReachable(f func(galenalatch.RouterID) bool) Option {
+	return func(s *Store) { s.reachable = f }
+}
+
+// SetRouters sets the number of routers. The time between two lists of all
+// rows grows with it, since peers pass on new holders.
+func (s *Store) SetRouters(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listEvery = time.Duration(n) * time.Second / listsPerSecond
+}
+
 // New returns a store for the process of the router that started with the
 // random id start. It has no cells.
 func New(t galenalatch.Table, router galenalatch.RouterID, start string, opts ...Option) *Store {
@@ -93,6 +125,8 @@
 		notify: func(galenalatch.CellID, State) {},
 		wake:   make(chan struct{}, 1),
 		cells:  map[galenalatch.CellID]*cell{},
+
+		reachable: func(galenalatch.RouterID) bool { return true },
 	}
 	for _, o := range opts {
 		o(s)
@@ -110,6 +144,7 @@
 	for id, c := range s.cells {
 		if _, ok := ranks[id]; !ok {
 			c.dropped = true
+			c.rank = -1
 			c.lease.SetRank(-1)
 			c.lease.Release(now, "")
 		}
@@ -123,6 +158,7 @@
 			s.cells[id] = c
 		}
 		c.dropped = false
+		c.rank = rank
 		c.lease.SetRank(rank)
 	}
 	s.poke()
--- a/internal/platform/leases/store_test.go
+++ b/internal/platform/leases/store_test.go
@@ -223,3 +223,25 @@
 		c.kill()
 	})
 }
+
+// TestFarCandidates guards against a read of all rows every half second by
+// routers that are far from a takeover, and against cells that stay without
+// a holder when all near candidates have gone.
+func TestFarCandidates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platform.New()
+		first := start(t, s, "first", 0)
+		wait(2 * time.Second)
+		far := start(t, s, "far", 8)
+		far.SetRouters(400)
+		wait(time.Second)
+		before := s.Stats().Reads
+		wait(60 * time.Second)
+		reads := s.Stats().Reads - before
+		assert.Assert(t, reads <= 7, "%d reads in a minute", reads)
+		assert.Equal(t, far.count(func(st leases.State) bool { return st.Holder == "first" }), cellCount)
+		first.kill()
+		wait(30 * time.Second)
+		assert.Equal(t, far.count(func(st leases.State) bool { return st.Held }), cellCount)
+	})
+}
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -55,6 +55,7 @@
 			Renew:    r.settings.Lease.Renew.Std(),
 			Margin:   r.settings.Lease.Margin.Std(),
 		}),
+		leases.WithReachable(r.reachable),
 		leases.WithNotify(r.onLease))
 	return nil
 }
@@ -70,6 +71,7 @@
 		}
 	}
 	r.gossip.SetListed(routers)
+	r.leases.SetRouters(len(routers))
 	r.log.Event(events.InstancesRead, "instances", len(list))
 }
 
