--- a/cmd/galenalatch/await_test.go
+++ b/cmd/galenalatch/await_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -113,7 +114,8 @@
 }
 
 // value follows a path of names separated by dots. The name * adds up the
-// values of all items; len counts the items.
+// values of all items, field=value those of the items with this field; len
+// counts the items. A text has the value 1 when the path ends with it.
 func value(v any, path string) (float64, error) {
 	name, rest, _ := strings.Cut(path, ".")
 	switch x := v.(type) {
@@ -124,30 +126,40 @@
 			return 1, nil
 		}
 		return 0, nil
+	case string:
+		return value(x == path, "")
 	case float64:
 		return x, nil
 	case map[string]any:
 		if item, ok := x[name]; ok {
 			return value(item, rest)
 		}
-		return items(slices.Collect(valuesOf(x)), name, rest)
+		values := slices.Collect(maps.Values(x))
+		if name != "*" && name != "len" && !slices.ContainsFunc(values, notNumber) {
+			// A map from names to counts.
+			return 0, nil
+		}
+		return items(values, name, rest)
 	case []any:
 		return items(x, name, rest)
 	}
 	return 0, fmt.Errorf("%v is no number", v)
 }
 
-func valuesOf(m map[string]any) func(func(any) bool) {
-	return func(yield func(any) bool) {
-		for _, v := range m {
-			if !yield(v) {
-				return
-			}
-		}
-	}
+func notNumber(v any) bool {
+	_, ok := v.(float64)
+	return !ok
 }
 
 func items(list []any, name, rest string) (float64, error) {
+	field, want, filtered := strings.Cut(name, "=")
+	if filtered {
+		list = slices.DeleteFunc(slices.Clone(list), func(v any) bool {
+			m, ok := v.(map[string]any)
+			return !ok || m[field] != want
+		})
+		name = "*"
+	}
 	switch name {
 	case "len":
 		return float64(len(list)), nil
--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -99,6 +99,10 @@
 // that a late duplicate of a message does not revive them.
 const memory = 10 * time.Minute
 
+// maxIdle is the number of workspaces from which records of idle ones are
+// dropped: about 1 MB.
+const maxIdle = 2000
+
 // scanPeriod is the time between two looks for grants, loans and routers
 // whose waiting times have passed.
 const scanPeriod = 500 * time.Millisecond
@@ -118,6 +122,7 @@
 	offers   []*offer
 	borrowed map[slotKey]*offer
 	routers  map[galenalatch.RouterID]*router
+	gone     []galenalatch.RouterID
 	peers    map[galenalatch.CellID]*peer
 
 	leaseExpires time.Time
@@ -328,7 +333,7 @@
 }
 
 func (c *Cell) leaseAsked(now time.Time, from galenalatch.RouterID, m galenalatch.LeaseAsk) {
-	s := galenalatch.LeaseState{Cell: c.cfg.ID, Epoch: c.cfg.Epoch, Echo: m.Stamp}
+	s := galenalatch.LeaseState{Cell: c.cfg.ID, Epoch: c.cfg.Epoch, Echo: m.Stamp, Reported: c.router(from).reported}
 	if !c.stopped {
 		s.RemainingMillis = max(0, c.leaseExpires.Sub(now).Milliseconds())
 		s.Lapsed = c.lapsed
@@ -342,6 +347,7 @@
 		return
 	}
 	c.nextForget = now.Add(memory / 10)
+	c.queue.Forget(maxIdle)
 	for k, t := range c.ended {
 		if now.Sub(t) > memory/5 {
 			delete(c.ended, k)
--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -46,6 +46,9 @@
 	ran       bool
 	completed bool
 	failed    bool
+	// unreached says that the server gets no new work before its next load
+	// report.
+	unreached bool
 	assumed   bool
 }
 
@@ -137,7 +140,7 @@
 	}
 	c.end(now, g, ending{
 		units: m.Units, ran: m.Outcome != galenalatch.NotRun,
-		completed: m.Completed, failed: m.Failed,
+		completed: m.Completed, failed: m.Failed, unreached: m.Unreached,
 	})
 }
 
@@ -148,7 +151,7 @@
 	if g.offer != nil {
 		c.giveBack(now, g.offer, e)
 	} else {
-		c.servers.Finish(now, g.serial, warmup.End{Completed: e.completed, Failed: e.failed, Assumed: e.assumed, Units: e.units})
+		c.servers.Finish(now, g.serial, warmup.End{Completed: e.completed, Failed: e.failed, Assumed: e.assumed || e.unreached, Units: e.units})
 	}
 	q := g.request
 	id := q.waiting.Request
@@ -177,6 +180,10 @@
 			return
 		}
 		p := c.neediest(now)
+		if !c.lapsed && c.leaseExpires.Sub(now) < c.cfg.LoanTerm {
+			// A successor of this holder would not know of the slot.
+			p = nil
+		}
 		switch {
 		case c.queue.Ready() > 0 && (p == nil || c.queue.VirtualTime() <= p.virtualTime+c.cfg.LendTolerance):
 			c.grant(now, t, nil)
@@ -210,6 +217,7 @@
 		g.serverCell = o.key.lender
 		g.message.ServerCell, g.message.ServerEpoch, g.message.Slot = o.key.lender, o.epoch, o.key.slot
 		o.become(used, now)
+		o.grant = g
 	} else {
 		c.servers.Start(now, g.serial, t.Server, t.Boot)
 	}
--- a/internal/peer/gossip/link_bench_test.go
+++ b/internal/peer/gossip/link_bench_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,6 +26,7 @@
 	mesh     *link.Mesh
 	exchange *Exchange
 	held     atomic.Uint64
+	cut      atomic.Bool
 }
 
 // ChangesAfter implements Changes with one change of a typical size.
@@ -76,7 +79,7 @@
 				return d.mesh.Send(to, change(d.exchange, m))
 			},
 			Head: func(context.Context) (galenalatch.Version, error) {
-				if down.Load() {
+				if down.Load() || d.cut.Load() {
 					return 0, galenalatch.KindPlatformDown.Errorf("down")
 				}
 				return galenalatch.Version(head.Load()), nil
@@ -131,6 +134,13 @@
 	return float64(n) / float64(len(nodes))
 }
 
+// cpu returns the processor time that the process has used.
+func cpu(b *testing.B) time.Duration {
+	var r syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
 func same(_ *Exchange, m galenalatch.Message) galenalatch.Message { return m }
 
 // always adds the holders to each gossip, and asks for who was heard from.
@@ -171,27 +181,85 @@
 		b.Run(c.name, func(b *testing.B) {
 			var down atomic.Bool
 			nodes := startNodes(b, c.n, c.gossip, &down, c.change)
-			<-time.After(10 * time.Second)
+			<-time.After(time.Second)
+			dialled := perNode(nodes) * 2 / float64(c.n-1)
+			<-time.After(9 * time.Second)
 			down.Store(c.down)
 			if c.down {
 				<-time.After(2 * time.Second)
 			}
 			for b.Loop() {
-				before := perNode(nodes)
+				before, used := perNode(nodes), cpu(b)
 				<-time.After(benchTime)
 				b.ReportMetric((perNode(nodes)-before)/benchTime.Seconds(), "B/s")
+				b.ReportMetric((cpu(b)-used).Seconds()/benchTime.Seconds()/float64(c.n)*100, "%core")
+			}
+			runtime.GC()
+			var mem runtime.MemStats
+			runtime.ReadMemStats(&mem)
+			links := 0
+			for _, d := range nodes {
+				links += len(d.mesh.Stats())
 			}
+			b.ReportMetric(float64(mem.HeapAlloc+mem.StackInuse)/float64(links)/1024, "KB/link")
 			if !c.gossip {
+				b.ReportMetric(dialled, "B/dial")
 				return
 			}
 			start := time.Now()
 			nodes[0].apply(2)
 			for _, d := range nodes {
-				for d.held.Load() < 2 {
-					<-time.After(time.Millisecond)
-				}
+				until(func() bool { return d.held.Load() == 2 })
 			}
 			b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/change")
+			nodes[0].exchange.Watch(2)
+			until(func() bool {
+				held, total := nodes[0].exchange.Accepted(2)
+				return 2*held > total
+			})
+			b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/accepted")
 		})
 	}
 }
+
+// until waits for a condition.
+func until(met func() bool) {
+	for !met() {
+		<-time.After(time.Millisecond)
+	}
+}
+
+// BenchmarkCut measures how long a router that is cut off from the platform
+// and all routers goes on, and how long it takes to serve again.
+func BenchmarkCut(b *testing.B) {
+	var down atomic.Bool
+	nodes := startNodes(b, 8, true, &down, same)
+	fresh := func() bool {
+		ok, _ := nodes[7].exchange.Fresh()
+		return ok
+	}
+	cut := func(on bool) {
+		nodes[7].cut.Store(on)
+		for i, id := range benchIDs(7) {
+			nodes[i].mesh.Block("router-0007", on)
+			nodes[7].mesh.Block(id, on)
+		}
+	}
+	var stale, back time.Duration
+	for b.Loop() {
+		until(fresh)
+		<-time.After(3 * time.Second)
+		start := time.Now()
+		cut(true)
+		until(func() bool { return !fresh() })
+		stale = max(stale, time.Since(start))
+		// The links count as down before they are restored.
+		<-time.After(4 * time.Second)
+		start = time.Now()
+		cut(false)
+		until(fresh)
+		back = max(back, time.Since(start))
+	}
+	b.ReportMetric(float64(stale.Milliseconds()), "ms/stale-most")
+	b.ReportMetric(float64(back.Milliseconds()), "ms/fresh-most")
+}
--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -9,6 +9,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/cell"
 	"github.com/galenalatch/galenalatch/internal/decide/directory"
+	"github.com/galenalatch/galenalatch/internal/decide/warmup"
 )
 
 const (
@@ -45,6 +46,21 @@
 	Holders  func() []galenalatch.Holder
 	Reporter galenalatch.Reporter
 	Send     func(galenalatch.RouterID, galenalatch.Message) bool
+	// Observer is told what happens in the cells; nil means none.
+	Observer Observer
+}
+
+// Observer receives what happens in the held cells. Its methods are called
+// from the host's loop and must not block.
+type Observer interface {
+	// ServerChanged is called when a server has another state or boot
+	// identity than before. The state before is empty for a server that was
+	// not listed when the cell was opened.
+	ServerChanged(c galenalatch.CellID, before, now warmup.Status)
+	// RouterGone is called when the slots of a silent router were freed.
+	RouterGone(c galenalatch.CellID, r galenalatch.RouterID)
+	// Granting is called when a new holder starts to grant.
+	Granting(c galenalatch.CellID, e galenalatch.Epoch, after time.Duration)
 }
 
 // Host runs cells. Create it with New.
@@ -56,6 +72,7 @@
 	pollers map[galenalatch.ServerID]poller
 	status  chan chan []cell.Status
 	stop    chan chan []galenalatch.Handover
+	wake    chan struct{}
 	// handovers are kept for cells whose lease is not yet held.
 	handovers map[galenalatch.CellID]handover
 	stopped   bool
@@ -80,8 +97,13 @@
 	directory *directory.Directory
 	lease     LeaseState
 	// holders is the number of the list of holders that the cell has.
-	holders uint64
-	dirty   bool
+	holders  uint64
+	dirty    bool
+	opened   time.Time
+	granting bool
+	// servers is the state that the observer was told, nil before the
+	// first look.
+	servers map[galenalatch.ServerID]warmup.Status
 }
 
 // event is one input of the loop; its fields are alternatives.
@@ -115,6 +137,7 @@
 		pollers: make(map[galenalatch.ServerID]poller),
 		status:  make(chan chan []cell.Status),
 		stop:    make(chan chan []galenalatch.Handover),
+		wake:    make(chan struct{}, 1),
 
 		handovers: make(map[galenalatch.CellID]handover),
 	}
@@ -172,6 +195,14 @@
 	}
 }
 
+// Wake makes the host look at the leases at once.
+func (h *Host) Wake() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run runs the cells until the context ends.
 func (h *Host) Run(ctx context.Context) error {
 	return h.loop(ctx)
@@ -182,6 +213,8 @@
 	defer refresh.Stop()
 	due := time.NewTimer(time.Hour)
 	defer due.Stop()
+	observe := time.NewTicker(observeEvery)
+	defer observe.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -193,8 +226,13 @@
 			reply <- h.states()
 		case reply := <-h.stop:
 			reply <- h.stopAll()
+		case <-h.wake:
+			h.refresh(ctx, time.Now())
 		case <-refresh.C:
 			h.refresh(ctx, time.Now())
+		case <-observe.C:
+			h.observe(time.Now())
+			continue
 		case <-due.C:
 		}
 		due.Reset(h.tick(time.Now()))
--- a/internal/process/entry/pending.go
+++ b/internal/process/entry/pending.go
@@ -78,40 +78,8 @@
 	until   time.Time
 }
 
-// unitsKey identifies a moving average of the cost of requests.
-type unitsKey struct {
-	workspace galenalatch.WorkspaceName
-	pool      galenalatch.PoolName
-	class     galenalatch.Class
-}
-
-// estimate returns the expected cost of a request: the average of the
-// workspace, bounded by the caller's hint and the pool's largest cost.
-func (e *Entry) estimate(r galenalatch.Request, p galenalatch.Pool) int64 {
-	units := r.Estimate
-	if a, ok := e.units[unitsKey{r.Workspace, r.Pool, r.Class}]; ok {
-		if units == 0 || int64(a) < units {
-			units = int64(a)
-		}
-	}
-	return max(1, min(units, p.MaxCost))
-}
-
-// learn moves the average towards the cost of a request that completed.
-func (e *Entry) learn(r galenalatch.Request, units int64) {
-	const share = 0.1
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	k := unitsKey{r.Workspace, r.Pool, r.Class}
-	a, ok := e.units[k]
-	if !ok {
-		a = float64(units)
-	}
-	e.units[k] = a + share*(float64(units)-a)
-}
-
 // queue adds a request to the table and asks for a grant.
-func (e *Entry) queue(r galenalatch.Request, p galenalatch.Pool) *pending {
+func (e *Entry) queue(r galenalatch.Request) *pending {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -121,7 +89,7 @@
 			Request:   r.ID,
 			Workspace: r.Workspace,
 			Class:     r.Class,
-			Estimate:  e.estimate(r, p),
+			Estimate:  r.Estimate,
 			Bytes:     int64(len(r.Body)),
 		},
 		since:   now,
@@ -205,6 +173,7 @@
 	if err != nil {
 		f.Outcome = galenalatch.OutcomeOf(err)
 		f.Failed = serverFailed[galenalatch.KindOf(err)]
+		f.Unreached = galenalatch.KindOf(err) == galenalatch.KindServerUnreached
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -216,10 +185,9 @@
 
 // serverFailed holds the kinds that show a failed or restarted server.
 var serverFailed = map[galenalatch.Kind]bool{
-	galenalatch.KindBootMismatch:    true,
-	galenalatch.KindServerUnreached: true,
-	galenalatch.KindServerBroke:     true,
-	galenalatch.KindStreamBroke:     true,
+	galenalatch.KindBootMismatch: true,
+	galenalatch.KindServerBroke:  true,
+	galenalatch.KindStreamBroke:  true,
 }
 
 // sendFinish tells the present holder of the cell. When there is none, the
