--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -15,6 +15,9 @@
 const (
 	// refreshEvery is how often lease states and the directory are read.
 	refreshEvery = 50 * time.Millisecond
+	// holdersEvery is how often the holders of all cells are read. The work
+	// grows with the number of cells of the fleet.
+	holdersEvery = 200 * time.Millisecond
 	// inboxLength bounds the messages that wait for the host.
 	inboxLength = 4096
 )
@@ -73,6 +76,12 @@
 	// handovers are kept for cells whose lease is not yet held.
 	handovers map[galenalatch.CellID]handover
 	stopped   bool
+
+	// holders is the newest list of holders, holdersSeen the number of
+	// different lists so far.
+	holders     []galenalatch.Holder
+	holdersSeen uint64
+	holdersRead time.Time
 }
 
 // handover is a message that arrived before its cell was opened.
@@ -86,9 +95,12 @@
 	cell      *cell.Cell
 	epoch     galenalatch.Epoch
 	directory *directory.Directory
-	dirty     bool
-	opened    time.Time
-	granting  bool
+	lease     LeaseState
+	// holders is the number of the list of holders that the cell has.
+	holders  uint64
+	dirty    bool
+	opened   time.Time
+	granting bool
 	// servers is the state that the observer was told, nil before the
 	// first look.
 	servers map[galenalatch.ServerID]warmup.Status
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -58,6 +58,7 @@
 			Renew:    r.settings.Lease.Renew.Std(),
 			Margin:   r.settings.Lease.Margin.Std(),
 		}),
+		leases.WithReachable(r.reachable),
 		leases.WithNotify(r.onLease))
 	return nil
 }
@@ -73,6 +74,7 @@
 		}
 	}
 	r.gossip.SetListed(routers)
+	r.leases.SetRouters(len(routers))
 	r.log.Event(events.InstancesRead, "instances", len(list))
 }
 
@@ -222,7 +224,7 @@
 
 func (r *Router) heldLeases() map[galenalatch.CellID]dispatch.LeaseState {
 	held := make(map[galenalatch.CellID]dispatch.LeaseState)
-	for c, s := range r.leases.States() {
+	for c, s := range r.leases.Own() {
 		if s.Held || s.Lapsed {
 			held[c] = dispatch.LeaseState{Epoch: s.Epoch, Expires: s.Expires, Lapsed: s.Lapsed, Unconfirmed: s.Unconfirmed, Released: s.Epoch > 1 && !s.Unconfirmed}
 		}
