Ask about a lent slot after half a minute at first

Cause: borrowers answer while they use a slot, so the question after 3 s cost two messages for most requests of the target size. A broken connection still leads to a question at once.

--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -146,7 +146,7 @@
 			Server: t.Server, Address: t.Address, Boot: t.Boot, DataCentre: t.DataCentre,
 			TermMillis: c.cfg.LoanTerm.Milliseconds(),
 		},
-		probe: now.Add(c.cfg.LoanTerm + c.cfg.ConfirmWait),
+		probe: now.Add(loanAskPeriod / 2),
 	}
 	if !c.servers.IsWarm(t.Server) {
 		l.probe = now.Add(confirmLoan)
@@ -178,8 +178,8 @@
 // server warms up more slowly.
 const confirmLoan = 1500 * time.Millisecond
 
-// loanAskPeriod is the time between questions about a loan after the first
-// one. Most requests are still running when the term of their slot has ended,
+// loanAskPeriod is the time between questions about a loan. The first one comes
+// after half of it. Most requests are still running when the term of their slot has ended,
 // so frequent questions cost more than the rare loss of an answer. After a new connection to the holder
 // of the borrowing cell, or a new holder, the question comes early.
 const loanAskPeriod = time.Minute
