Count a request behind a late end on a server that warms up

Cause: a load report can include an unknown request in the place of one that has ended but whose Finish is still on its way. When the Finish arrived, the unknown request was no longer counted until the next report. Found by reasoning, now covered by a test.

--- a/internal/decide/warmup/server.go
+++ b/internal/decide/warmup/server.go
@@ -35,6 +35,9 @@
 	generation int
 	started    time.Time
 	confirmed  time.Time
+	// counted says that the last load report was taken to include the
+	// request.
+	counted bool
 }
 
 type server struct {
@@ -109,11 +112,13 @@
 	n := 0
 	strict := s.state() != Warm
 	for _, p := range s.slots {
+		p.counted = false
 		switch {
 		case p.boot != s.boot:
 		case strict && (p.confirmed.IsZero() || p.confirmed.After(sampled)):
 		case p.started.After(sampled):
 		default:
+			p.counted = strict
 			n++
 		}
 	}
--- a/internal/decide/warmup/servers.go
+++ b/internal/decide/warmup/servers.go
@@ -253,6 +253,11 @@
 	}
 	s.live--
 	s.noteEnd(now)
+	if p.counted {
+		// The request may have ended before the last load report, which then
+		// included an unknown one. The next report tells.
+		s.foreign++
+	}
 	switch {
 	case e.Failed:
 		s.chill()
--- a/internal/decide/warmup/servers_test.go
+++ b/internal/decide/warmup/servers_test.go
@@ -82,6 +82,12 @@
 			t.Confirm(at(0), 1)
 			load(t, 0.1, "b", 1)
 		}, 1},
+		{"unknown request behind a late end", func(t *Servers) {
+			t.Start(at(0), 1, "s", "b")
+			t.Confirm(at(0), 1)
+			load(t, 0.1, "b", 1)
+			t.Finish(at(0.2), 1, End{})
+		}, 1},
 		{"lapsed", func(t *Servers) { t.SetLapsed(true) }, 1},
 		{"lapsed, warm", func(t *Servers) { complete(t, 0, 30); t.SetLapsed(true) }, 8},
 		{"reserve", func(t *Servers) { t.SetReserve(at(9)) }, 1},
