Do not revive a lent slot from a late report

Cause: a report that arrived after the slot was given back recorded the loan again. The borrower answered the next question with its remembered GiveBack, and one completed request raised the limit of a cold server twice. Change: the cell remembers the slots that were given back.

--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -119,6 +119,7 @@
 	grants   map[uint64]*grant
 	ended    map[uint64]time.Time
 	loans    map[string]*loan
+	repaid   map[string]time.Time
 	offers   []*offer
 	borrowed map[slotKey]*offer
 	routers  map[galenalatch.RouterID]*router
@@ -156,6 +157,7 @@
 		grants:   make(map[uint64]*grant),
 		ended:    make(map[uint64]time.Time),
 		loans:    make(map[string]*loan),
+		repaid:   make(map[string]time.Time),
 		borrowed: make(map[slotKey]*offer),
 		routers:  make(map[galenalatch.RouterID]*router),
 		peers:    make(map[galenalatch.CellID]*peer),
@@ -352,6 +354,11 @@
 			delete(c.ended, k)
 		}
 	}
+	for k, t := range c.repaid {
+		if now.Sub(t) > memory {
+			delete(c.repaid, k)
+		}
+	}
 	for k, o := range c.borrowed {
 		if o.state == returned && now.Sub(o.changed) > memory {
 			delete(c.borrowed, k)
--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -187,6 +187,9 @@
 	l := out[0].Message.(galenalatch.Lend)
 	back := galenalatch.GiveBack{From: l.To, To: cellID, Slot: l.Slot, Used: true, Completed: true}
 	c.Handle(start, "r1", back)
+	c.Handle(start, "e", galenalatch.Report{Cell: cellID, Epoch: 1, Running: []galenalatch.Running{{
+		Request: "1", Server: "s", Boot: "b1", Home: l.To, ServerCell: cellID, Slot: l.Slot, Serial: 1,
+	}}})
 	c.Handle(start, "r1", back)
 	s := c.Status(start)
 	assert.Equal(t, s.Lent, 1)
--- a/internal/decide/cell/lend.go
+++ b/internal/decide/cell/lend.go
@@ -240,6 +240,7 @@
 		return
 	}
 	delete(c.loans, m.Slot)
+	c.repaid[m.Slot] = now
 	c.servers.Finish(now, l.key, warmup.End{Completed: m.Completed, Failed: m.Failed, Assumed: m.Assumed})
 	if p := c.peers[m.From]; p != nil && !m.Used {
 		// Its last summary is out of date. Lending on its word again would
--- a/internal/decide/cell/routers.go
+++ b/internal/decide/cell/routers.go
@@ -148,7 +148,10 @@
 		return
 	}
 	if n.Home != c.cfg.ID {
-		if n.ServerCell == c.cfg.ID && n.Slot != "" && c.loans[n.Slot] == nil {
+		// A late report must not revive a slot that was given back: the
+		// borrower would repeat its answer, which would count twice.
+		_, over := c.repaid[n.Slot]
+		if n.ServerCell == c.cfg.ID && n.Slot != "" && c.loans[n.Slot] == nil && !over {
 			c.loans[n.Slot] = c.restoreLoan(now, n)
 		}
 		return
