backend/connection: count only the writes of the request itself

Cause: on a loaded machine (scenario pause-dispatcher under the race detector, load above 50) a keyed call was told that its outcome was unknown and its key stayed claimed, with 'serverBroke: waiting for the answer of ...: connection was closed'. The server had not run it. When the write of the boot check returns late, its answer is already there and the next request is armed: its bytes and its pending write were counted as the request's. net/http waits 50 ms for such a write and then does not use the connection again, so the request was never sent; the error is the refused second dial. Ruled out: a restart or overrun of the server (its counts show none) and a retry by the transport (the body cannot be rewound). Change: a write counts only for the request during which it began. Before: TestLateWriteOfRequestBefore fails, such a call is outcomeUnknown. After: it is serverUnreached, notRun, and gets another grant.

--- a/internal/backend/connection/counting.go
+++ b/internal/backend/connection/counting.go
@@ -26,6 +26,9 @@
 	// was closed during it and linger has not been called yet.
 	armed bool
 	half  bool
+	// request counts the calls of arm. Only writes that began since the last
+	// one belong to the request.
+	request int
 	// pending counts the writes that have not returned, written the bytes
 	// of those that have.
 	pending int
@@ -48,12 +51,15 @@
 		return 0, net.ErrClosed
 	}
 	c.pending++
+	request := c.request
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
-	c.written += int64(n)
+	if request == c.request {
+		c.pending--
+		c.written += int64(n)
+	}
 	return n, err
 }
 
@@ -104,12 +110,14 @@
 	return c.closed
 }
 
-// arm starts the count for the next request.
+// arm starts the count for the next request. The answer to the request before
+// can be complete before its write has returned here.
 func (c *countingConn) arm() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.armed = true
-	c.written = 0
+	c.request++
+	c.pending, c.written = 0, 0
 }
 
 // disarm ends a request whose whole answer has been read.
