Keep the majority list of routers in the catalogue's versions

Cause: freshness by a majority used each router's own instance list. Majorities of two lists that differ by more than one router need not share a router, so a change could be accepted while a cut-off group stayed fresh on the old list.

--- a/internal/operator/api/change.go
+++ b/internal/operator/api/change.go
@@ -39,6 +39,11 @@
 	if err := identity(a.Change); err != nil {
 		return nil, err
 	}
+	if len(a.Change.PutRouters)+len(a.Change.RemoveRouters) > 0 {
+		// A list that does not follow the accepted versions would break the
+		// overlap of majorities.
+		return nil, galenalatch.KindBadRequest.Errorf("change: putRouters and removeRouters are not allowed; the routers follow the instance list by themselves")
+	}
 	if empty(a.Change) {
 		return nil, galenalatch.KindBadRequest.Errorf("change: an empty change is not allowed; allowed: at least one put or remove field")
 	}
--- a/internal/process/demo/site.go
+++ b/internal/process/demo/site.go
@@ -111,7 +111,11 @@
 // start runs all parts and returns the function that ends them, which
 // returns the errors of the routers.
 func (s *site) start(ctx context.Context) (stop func() error, err error) {
-	if err := standins.Seed(ctx, s.platform, s.token, firstCatalogue()); err != nil {
+	first := firstCatalogue()
+	for _, r := range s.routers {
+		first.Routers = append(first.Routers, r.id)
+	}
+	if err := standins.Seed(ctx, s.platform, s.token, first); err != nil {
 		s.close()
 		return nil, err
 	}
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -80,7 +80,7 @@
 
 func (r *Router) onCatalogue(c galenalatch.Catalogue) {
 	r.fleet.SetCatalogue(c)
-	r.gossip.Hold(c.Version, freshness.Lists{})
+	r.gossip.Hold(c.Version, freshness.Lists{Current: c.Routers, Previous: c.PreviousRouters})
 	r.log.Event(events.CatalogueApplied, "version", c.Version)
 	r.onService(c)
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -111,7 +111,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	for _, run := range []func(context.Context) error{
-		r.fleet.Run, r.leases.Run, r.claims.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.gossip.Run, r.runRanks,
+		r.fleet.Run, r.leases.Run, r.claims.Run, r.mesh.Run, r.entry.Run, r.host.Run, r.gossip.Run, r.runRanks, r.runLists,
 	} {
 		g.Go(func() error { return run(work) })
 	}
--- a/internal/process/router/views.go
+++ b/internal/process/router/views.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/google/uuid"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/freshness"
@@ -76,6 +79,49 @@
 	return r.gossip.Accepted(v)
 }
 
+// listsEvery is how often the router looks whether the catalogue's list of
+// routers must follow the instance list.
+const listsEvery = time.Second
+
+// runLists keeps the catalogue's list of routers in step with the instance
+// list. A majority of this list proves freshness, so it changes by versions.
+func (r *Router) runLists(ctx context.Context) error {
+	return r.loopLists(ctx)
+}
+
+func (r *Router) loopLists(ctx context.Context) error {
+	tick := time.NewTicker(listsEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			r.changeLists(ctx)
+		}
+	}
+}
+
+// changeLists applies a change to exactly the held version. It is not made
+// again on a conflict: the next look decides anew.
+func (r *Router) changeLists(ctx context.Context) {
+	base := r.catalogue.Current().Version
+	put, remove := r.gossip.ListChange()
+	if len(put)+len(remove) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, listsEvery)
+	defer cancel()
+	_, err := r.catalogue.Apply(ctx, base, galenalatch.Change{
+		ID:            uuid.NewString(),
+		Author:        "router " + string(r.settings.ID),
+		At:            time.Now(),
+		PutRouters:    put,
+		RemoveRouters: remove,
+	})
+	r.log.Event(events.RoutersChanged, "put", put, "removed", remove, "error", err)
+}
+
 // publishHolders tells the other routers which holders the lease rows name,
 // unless that was published before.
 func (r *Router) publishHolders(published map[galenalatch.CellID]galenalatch.Holder) {
--- a/internal/process/standins/standins.go
+++ b/internal/process/standins/standins.go
@@ -121,6 +121,11 @@
 		if err != nil {
 			return err
 		}
+		for _, in := range s.settings.Instances {
+			if in.Role == galenalatch.RouterRole {
+				first.Routers = append(first.Routers, galenalatch.RouterID(in.ID))
+			}
+		}
 		if err := Seed(ctx, p, token, first); err != nil {
 			return err
 		}
@@ -142,7 +147,8 @@
 	return nil
 }
 
-// Seed writes the first version of the catalogue into the table of p.
+// Seed writes the first version of the catalogue, with its routers, into the
+// table of p.
 func Seed(ctx context.Context, p *platform.Server, token string, first galenalatch.Catalogue) error {
 	c, err := call.New("http://platform.invalid", call.WithToken(token), call.WithTransport(p.Transport()))
 	if err != nil {
@@ -150,6 +156,7 @@
 	}
 	change := galenalatch.Diff(galenalatch.Catalogue{}, first)
 	change.ID = "first"
+	change.PutRouters = first.Routers
 	change.Author = "standin"
 	change.At = time.Now()
 	_, err = catalogue.New(table.New(c), object.New(c)).Apply(ctx, 0, change)
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -44,6 +44,7 @@
 	OperatorRejected Number = 5008
 	OutOfService     Number = 5009
 	BackInService    Number = 5010
+	RoutersChanged   Number = 5012
 	ChangeRefused    Number = 5011
 	PlatformDown     Number = 6001
 	PlatformUp       Number = 6002
@@ -156,6 +157,9 @@
 		"A request to the operators' API had no valid token.", "When it repeats, find out who sends it."},
 	OutOfService: {log.WarnLevel, "out of service",
 		"Operators took a data centre or backend server out of service. It gets no new work.", none},
+	RoutersChanged: {log.InfoLevel, "list of routers changed",
+		"The router changed the catalogue's list of routers to follow the instance list, or tried to.",
+		"Nothing, unless the error is not a conflict and repeats: then no version can be accepted by the new routers."},
 	BackInService: {log.InfoLevel, "back in service",
 		"Operators brought a data centre or backend server back. It is cold.", none},
 	PlatformDown: {log.ErrorLevel, "platform does not answer",
