--- a/internal/decide/cell/grant.go
+++ b/internal/decide/cell/grant.go
@@ -202,7 +202,14 @@
 	if !ok {
 		return
 	}
+	if o == nil {
+		t = c.prefixes.choose(now, c.servers, w, t)
+	}
 	q := c.requests[w.Request]
+	if q == nil {
+		c.queue.Settle(w.Request, 0)
+		return
+	}
 	c.serial++
 	g := &grant{
 		serial: c.serial, request: q, router: q.router, server: t.Server, boot: t.Boot,
--- a/internal/process/router/join.go
+++ b/internal/process/router/join.go
@@ -58,6 +58,7 @@
 			Renew:    r.settings.Lease.Renew.Std(),
 			Margin:   r.settings.Lease.Margin.Std(),
 		}),
+		leases.WithReachable(r.reachable),
 		leases.WithNotify(r.onLease))
 	return nil
 }
@@ -73,12 +74,13 @@
 		}
 	}
 	r.gossip.SetListed(routers)
+	r.leases.SetRouters(len(routers))
 	r.log.Event(events.InstancesRead, "instances", len(list))
 }
 
 func (r *Router) onCatalogue(c galenalatch.Catalogue) {
 	r.fleet.SetCatalogue(c)
-	r.gossip.Hold(c.Version, freshness.Lists{})
+	r.gossip.Hold(c.Version, freshness.Lists{Current: c.Routers, Previous: c.PreviousRouters})
 	r.log.Event(events.CatalogueApplied, "version", c.Version)
 	r.onService(c)
 }
@@ -153,12 +155,16 @@
 }
 
 func (r *Router) onFailed(p galenalatch.RouterID, err error) {
-	if _, was := r.links.LoadAndDelete(p); !was {
+	_, was := r.links.LoadAndDelete(p)
+	if !was {
 		// The end of a connection is no failure: a new one may work.
 		r.failures.Store(p, time.Now())
 	}
-	if !errors.Is(err, context.Canceled) {
+	if errors.Is(err, context.Canceled) {
 		// The connections of a router that stops are not lost.
+		return
+	}
+	if was || r.occasional.due(time.Now(), "lost "+string(p)) {
 		r.log.Event(events.PeerLost, "peer", p, "error", err)
 	}
 }
@@ -218,7 +224,7 @@
 
 func (r *Router) heldLeases() map[galenalatch.CellID]dispatch.LeaseState {
 	held := make(map[galenalatch.CellID]dispatch.LeaseState)
-	for c, s := range r.leases.States() {
+	for c, s := range r.leases.Own() {
 		if s.Held || s.Lapsed {
 			held[c] = dispatch.LeaseState{Epoch: s.Epoch, Expires: s.Expires, Lapsed: s.Lapsed, Unconfirmed: s.Unconfirmed, Released: s.Epoch > 1 && !s.Unconfirmed}
 		}
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -44,6 +44,7 @@
 	OperatorRejected Number = 5008
 	OutOfService     Number = 5009
 	BackInService    Number = 5010
+	RoutersChanged   Number = 5012
 	ChangeRefused    Number = 5011
 	PlatformDown     Number = 6001
 	PlatformUp       Number = 6002
@@ -102,7 +103,7 @@
 		"Other workspaces are not affected. Raise `maxWaiting` only when the workspace pays for more."},
 	CallerRejected: {log.DebugLevel, "caller rejected", "A caller's key is missing or not known.", none},
 	GrantRejected: {log.InfoLevel, "grant rejected",
-		"An entry did not use a grant; `error` says why: an old epoch, an expired lease, a restarted server or one out of service.",
+		"An entry did not use a grant; `error` says why: an old epoch, an expired lease, a restarted server, one out of service or a claim that could not be written.",
 		"Expected after a dispatcher changed. When it goes on, look for 3003 on the sender."},
 	LeaseAcquired: {log.InfoLevel, "lease acquired", "The router is now the dispatcher of a cell.", none},
 	LeaseReleased: {log.InfoLevel, "lease released", "The router gave a cell back.", none},
@@ -156,6 +157,9 @@
 		"A request to the operators' API had no valid token.", "When it repeats, find out who sends it."},
 	OutOfService: {log.WarnLevel, "out of service",
 		"Operators took a data centre or backend server out of service. It gets no new work.", none},
+	RoutersChanged: {log.InfoLevel, "list of routers changed",
+		"The router changed the catalogue's list of routers to follow the instance list, or tried to.",
+		"Nothing, unless the error is not a conflict and repeats: then no version can be accepted by the new routers."},
 	BackInService: {log.InfoLevel, "back in service",
 		"Operators brought a data centre or backend server back. It is cold.", none},
 	PlatformDown: {log.ErrorLevel, "platform does not answer",
@@ -171,7 +175,7 @@
 		"Look for 6001."},
 	PeerConnected: {log.InfoLevel, "peer connected", "There is a connection to another router.", none},
 	PeerLost: {log.WarnLevel, "peer lost",
-		"The connection to another router broke or was silent.", "Expected when a router stops. Otherwise check the network."},
+		"The connection to another router broke or was silent, or none could be opened; the latter is logged at most once a minute per router.", "Expected when a router stops. Otherwise check the network."},
 	PeerRejected: {log.ErrorLevel, "peer rejected",
 		"A router had no valid token, rejects that of this router, or speaks another version of the protocol. Logged at most once a minute per router.",
 		"Compare the tokens and program versions of the two routers."},
