--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -30,6 +30,9 @@
 	// maxChanges bounds the changes in one message, below the limit of the
 	// codec with room for the heads of the changes.
 	maxChanges = 250 << 10
+	// newsInterval is the shortest time between rounds when the router
+	// learned a version. It bounds the rounds while many are applied.
+	newsInterval = 50 * time.Millisecond
 )
 
 // Changes holds the changes of the catalogue that the router has applied.
@@ -76,6 +79,9 @@
 	view    *freshness.View
 	rand    *rand.Rand
 	fetched time.Time
+	// asked is when the last round began, and told the version it carried.
+	asked time.Time
+	told  galenalatch.Version
 }
 
 // New returns an exchange for a process that starts now.
@@ -118,16 +124,18 @@
 func (e *Exchange) loop(ctx context.Context) error {
 	round := time.NewTicker(e.Interval)
 	defer round.Stop()
+	news := time.NewTimer(newsInterval)
+	defer news.Stop()
 	var told struct {
 		fresh  bool
 		reason freshness.Reason
 	}
 	for {
 		e.mu.Lock()
-		news := e.view.News()
+		holders := e.view.News()
 		fresh, reason := e.view.Fresh(time.Now())
 		e.mu.Unlock()
-		for _, h := range news {
+		for _, h := range holders {
 			e.HolderChanged(h)
 		}
 		if fresh != told.fresh || told.reason == "" {
@@ -139,15 +147,36 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.wake:
+			e.askNews(news)
+		case <-news.C:
+			e.askNews(news)
 		case <-round.C:
 			e.ask()
 		}
 	}
 }
 
+// askNews asks partners when the router holds a newer version than in the
+// last round, so that a change does not wait for the next round at each hop.
+// Soon after a round it sets the timer instead.
+func (e *Exchange) askNews(later *time.Timer) {
+	e.mu.Lock()
+	news := e.view.Held() != e.told
+	wait := newsInterval - time.Since(e.asked)
+	e.mu.Unlock()
+	switch {
+	case news && wait > 0:
+		later.Reset(wait)
+	case news:
+		e.ask()
+	}
+}
+
+// ask asks the partners of a round.
 func (e *Exchange) ask() {
 	e.mu.Lock()
 	now := time.Now()
+	e.asked, e.told = now, e.view.Held()
 	var out []galenalatch.Outgoing
 	for _, r := range e.view.Partners(now, e.rand) {
 		out = append(out, galenalatch.Outgoing{To: r, Message: e.view.Ask(now, r)})
--- a/message.go
+++ b/message.go
@@ -136,6 +136,9 @@
 	// Failed says that the server broke the connection or had another boot
 	// identity than the grant named.
 	Failed bool `cbor:"failed"`
+	// Unreached says that no connection to the server could be made. Whether
+	// it has restarted is not known.
+	Unreached bool `cbor:"unreached,omitempty"`
 	// Completed says that the server answered the request.
 	Completed bool `cbor:"completed"`
 	// Serial is the serial number of the grant that ends. Zero stands for
@@ -221,8 +224,8 @@
 	// ToEpoch is the epoch of the borrowing holder. Holders of other epochs
 	// must not use the slot.
 	ToEpoch Epoch `cbor:"toEpoch"`
-	// Ask asks what became of the slot and is no offer. A borrower that does
-	// not use the slot answers with GiveBack.
+	// Ask asks what became of the slot and is no offer. The borrower answers
+	// with GiveBack.
 	Ask bool `cbor:"ask,omitempty"`
 }
 
@@ -237,6 +240,9 @@
 	Completed bool   `cbor:"completed"`
 	// Assumed says that the borrower has no entry's word for the end.
 	Assumed bool `cbor:"assumed,omitempty"`
+	// InUse answers a question: the slot is not returned, and an entry has
+	// confirmed that a request runs on it.
+	InUse bool `cbor:"inUse,omitempty"`
 }
 
 // Handover passes a cell to its next holder during a graceful shutdown.
