process/dispatch: poll load reports less often with many servers

The interval stays 500 ms up to four servers of a router and grows to 1 s with eight: three reports fit into the 3 s after which a server is suspect.

--- a/internal/process/dispatch/host.go
+++ b/internal/process/dispatch/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
@@ -70,9 +71,11 @@
 	cells   map[galenalatch.CellID]*hosted
 	links   map[galenalatch.RouterID]string
 	pollers map[galenalatch.ServerID]poller
-	status  chan chan []cell.Status
-	stop    chan chan []galenalatch.Handover
-	wake    chan struct{}
+	// polled is the number of servers that are polled.
+	polled atomic.Int64
+	status chan chan []cell.Status
+	stop   chan chan []galenalatch.Handover
+	wake   chan struct{}
 	// handovers are kept for cells whose lease is not yet held.
 	handovers map[galenalatch.CellID]handover
 	stopped   bool
--- a/internal/process/dispatch/poller.go
+++ b/internal/process/dispatch/poller.go
@@ -8,8 +8,13 @@
 )
 
 const (
-	// pollEvery is how often a server's load report is read.
-	pollEvery = 500 * time.Millisecond
+	// pollEvery is how often a server's load report is read while the router
+	// has few servers, pollRarely how often at least. A server counts as
+	// suspect after 3 s without a report.
+	pollEvery  = 500 * time.Millisecond
+	pollRarely = time.Second
+	// pollsPerSecond bounds the reads of a router until pollRarely.
+	pollsPerSecond = 8
 	// pollTimeout bounds one read.
 	pollTimeout = time.Second
 )
@@ -31,18 +36,26 @@
 }
 
 func (p poller) loop(ctx context.Context) {
-	tick := time.NewTicker(pollEvery)
-	defer tick.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
 	for {
-		p.read(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-next.C:
 		}
+		began := time.Now()
+		p.read(ctx)
+		next.Reset(max(0, pollInterval(int(p.host.polled.Load()))-time.Since(began)))
 	}
 }
 
+// pollInterval returns the time between two reports of a server when the
+// router polls n servers.
+func pollInterval(n int) time.Duration {
+	return max(pollEvery, min(pollRarely, time.Duration(n)*time.Second/pollsPerSecond))
+}
+
 func (p poller) read(ctx context.Context) {
 	sampled := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/internal/process/dispatch/refresh.go
+++ b/internal/process/dispatch/refresh.go
@@ -117,6 +117,7 @@
 			h.pollers[server] = h.startPoller(ctx, id, s)
 		}
 	}
+	h.polled.Store(int64(len(wanted)))
 	for s, p := range h.pollers {
 		if !wanted[s] {
 			p.stop()
