process/entry: report progress only when the dispatcher learns from it

It now reports a request once after its grant, when its cost has passed what the dispatcher charges by an eighth, when it is asked, and every 5 s. The cell asks after 12 s of silence instead of 3 s, so that a lost end of a request holds its slot for up to 12 s; a grant that is not confirmed is still asked about after 2 s. The charge lags by at most an eighth plus one second.

--- a/internal/decide/cell/cell.go
+++ b/internal/decide/cell/cell.go
@@ -57,8 +57,8 @@
 	// again. The default is 2 s.
 	ConfirmWait time.Duration
 	// ProgressWait is how long a running request may go without progress
-	// before its entry is asked. Entries send progress once a second. The
-	// default is 3 s.
+	// before its entry is asked. Entries confirm a running request every 5 s.
+	// The default is 12 s, so that one lost message leads to no question.
 	ProgressWait time.Duration
 	// RouterGone is how long a router must be disconnected before its slots
 	// are freed. The default is 10 s.
@@ -87,7 +87,7 @@
 		c.ReportWait = max(c.ReportWait, c.ReleaseWait)
 	}
 	c.ConfirmWait = cmp.Or(c.ConfirmWait, 2*time.Second)
-	c.ProgressWait = cmp.Or(c.ProgressWait, 3*time.Second)
+	c.ProgressWait = cmp.Or(c.ProgressWait, 12*time.Second)
 	c.RouterGone = cmp.Or(c.RouterGone, 10*time.Second)
 	c.ReserveFor = cmp.Or(c.ReserveFor, 2*time.Hour)
 	c.LendTolerance = cmp.Or(c.LendTolerance, max(1, c.Pool.MaxCost/4))
--- a/internal/load/slopes/running.go
+++ b/internal/load/slopes/running.go
@@ -108,9 +108,10 @@
 	})
 }
 
-// tokens measures streams that run all the time at 58 ms a token.
+// tokens measures streams that run all the time at 58 ms a token. They are
+// fewer than the home cell can run, so that no slots are lent.
 func tokens(ctx context.Context, m *Measurement) ([]Point, error) {
-	return loaded(ctx, m, []int{16, 32, 64, 128}, func(f *fleet, n int, direct bool) (*load, float64) {
+	return loaded(ctx, m, []int{12, 24, 36, 48}, func(f *fleet, n int, direct bool) (*load, float64) {
 		return f.startLoad(calls{streams: n, tokens: 100_000, direct: direct}), float64(n) / tokenTime.Seconds()
 	})
 }
--- a/internal/process/entry/grant.go
+++ b/internal/process/entry/grant.go
@@ -43,6 +43,7 @@
 	defer e.mu.Unlock()
 	if r, ok := e.running[g.Request]; ok && r.grant.Cell == g.Cell && r.grant.Serial == g.Serial {
 		if g.Ask {
+			r.told = time.Time{}
 			e.progress(time.Now())
 		}
 		return
--- a/internal/process/entry/pending.go
+++ b/internal/process/entry/pending.go
@@ -34,6 +34,21 @@
 	grant   galenalatch.Grant
 	record  galenalatch.Waiting
 	units   atomic.Int64
+	// charged is the cost that the dispatcher knows of, told when it was
+	// last told. Both are guarded by the entry's mutex.
+	charged int64
+	told    time.Time
+}
+
+// confirmEvery is the longest time between two messages to the dispatcher
+// about a running request. The dispatcher asks after a longer silence.
+const confirmEvery = 5 * time.Second
+
+// news reports whether the dispatcher must be told of the request now: it was
+// not told yet, or for long, or the cost has passed the charge by an eighth.
+func (r *running) news(now time.Time) bool {
+	charged := max(r.charged, r.record.Estimate)
+	return now.Sub(r.told) >= confirmEvery || r.units.Load() > charged+charged/8
 }
 
 func (r *running) raise(units int64) {
--- a/internal/process/entry/report.go
+++ b/internal/process/entry/report.go
@@ -162,13 +162,20 @@
 	}
 }
 
-// progress reports all running requests to the holders of their home cells,
-// and renews what is known about the leases in use.
+// progress reports the running requests of which their home cells must know
+// more, and renews what is known about the leases in use. Once a cell is sent
+// a message, it tells about all requests for which it can replace a later one.
 func (e *Entry) progress(now time.Time) {
+	news := make(map[galenalatch.CellID]bool)
+	for _, r := range e.running {
+		news[r.grant.Cell] = news[r.grant.Cell] || r.news(now)
+	}
 	used := make(map[galenalatch.CellID][]galenalatch.Used)
 	for _, r := range e.running {
-		c := r.grant.Cell
-		used[c] = append(used[c], galenalatch.Used{Serial: r.grant.Serial, Units: r.units.Load()})
+		if c := r.grant.Cell; news[c] && (r.news(now) || now.Sub(r.told) >= confirmEvery/2) {
+			r.told, r.charged = now, r.units.Load()
+			used[c] = append(used[c], galenalatch.Used{Serial: r.grant.Serial, Units: r.charged})
+		}
 	}
 	for _, p := range e.pending {
 		if p.holder.Router != "" {
