--- a/internal/load/slopes/slopes.go
+++ b/internal/load/slopes/slopes.go
@@ -72,6 +72,7 @@
 	return []slope{
 		{"backlogged", "dispatcher", "backlogged workspaces in one cell", backlogged},
 		{"progress", "entry and dispatcher", "running requests in one progress message", progress},
+		{"directory", "entry and dispatcher", "routers in the instance list", directories},
 		{"workspaces", "entry", "workspaces in the catalogue", workspaces},
 		{"rows", "use of the platform", "lease rows that one router follows", rows},
 		{"connections", "entry and dispatcher", "connections of one router", connections},
