Keep the candidates of cells over changes of the catalogue's limits

Every router derived the directory and the candidates of all cells anew for each change of the catalogue. Now a change that leaves the pools' cells and the data centres in service as they are keeps them.

--- a/internal/decide/directory/directory.go
+++ b/internal/decide/directory/directory.go
@@ -16,21 +16,45 @@
 // Directory is an immutable view of routers, backend servers and cells.
 type Directory struct {
 	catalogue galenalatch.Catalogue
+	list      []galenalatch.Instance
 	routers   []galenalatch.Instance
 	cells     map[galenalatch.PoolName][]galenalatch.CellID
 	servers   map[galenalatch.CellID][]galenalatch.Instance
 	out       map[galenalatch.DataCentre]bool
 	all       []galenalatch.CellID
 
-	// candidates are computed when they are first needed.
+	ranking *ranking
+}
+
+// ranking holds the candidates. They are computed when they are first needed,
+// and shared by directories for which they are the same.
+type ranking struct {
 	once       sync.Once
 	candidates map[galenalatch.CellID][]galenalatch.RouterID
 }
 
+// WithCatalogue returns the directory for the same instances and another
+// catalogue. When the catalogue has the same cells and data centres in
+// service, nothing is derived anew: with 400 routers that takes 80 ms, and
+// most changes concern workspaces.
+func (d *Directory) WithCatalogue(c galenalatch.Catalogue) *Directory {
+	same := slices.EqualFunc(c.Pools, d.catalogue.Pools, func(a, b galenalatch.Pool) bool {
+		return a.Name == b.Name && a.CellsPerDataCentre == b.CellsPerDataCentre
+	})
+	if !same || !slices.Equal(c.OutOfService, d.catalogue.OutOfService) {
+		return New(c, d.list)
+	}
+	next := *d
+	next.catalogue = c
+	return &next
+}
+
 // New derives the directory. Servers of unknown pools are left out.
 func New(c galenalatch.Catalogue, list []galenalatch.Instance) *Directory {
 	d := &Directory{
 		catalogue: c,
+		list:      list,
+		ranking:   &ranking{},
 		cells:     make(map[galenalatch.PoolName][]galenalatch.CellID),
 		servers:   make(map[galenalatch.CellID][]galenalatch.Instance),
 		out:       make(map[galenalatch.DataCentre]bool),
@@ -145,15 +169,15 @@
 // Routers in the cell's data centre come before others; leaving routers and
 // routers in data centres that are out of service come last.
 func (d *Directory) Candidates(c galenalatch.CellID) []galenalatch.RouterID {
-	d.once.Do(d.assign)
-	return d.candidates[c]
+	d.ranking.once.Do(d.assign)
+	return d.ranking.candidates[c]
 }
 
 // assign computes the candidates of all cells. For each cell in turn, the
 // router of the best group that is first for the fewest cells so far becomes
 // the first candidate.
 func (d *Directory) assign() {
-	d.candidates = make(map[galenalatch.CellID][]galenalatch.RouterID)
+	d.ranking.candidates = make(map[galenalatch.CellID][]galenalatch.RouterID)
 	first := make(map[galenalatch.RouterID]int)
 	for _, c := range d.AllCells() {
 		groups := d.groups(c)
@@ -168,7 +192,7 @@
 			g[0] = least
 			break
 		}
-		d.candidates[c] = slices.Concat(groups...)
+		d.ranking.candidates[c] = slices.Concat(groups...)
 	}
 }
 
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -73,3 +73,30 @@
 		assert.Equal(t, n, 1, r)
 	}
 }
+
+// TestWithCatalogue guards against candidates or cells of an old catalogue.
+func TestWithCatalogue(t *testing.T) {
+	list := []galenalatch.Instance{
+		{ID: "r1", Role: galenalatch.RouterRole, DataCentre: "a"}, {ID: "r2", Role: galenalatch.RouterRole, DataCentre: "b"},
+		{ID: "s1", Role: galenalatch.ServerRole, DataCentre: "a", Pool: "p"}, {ID: "s2", Role: galenalatch.ServerRole, DataCentre: "b", Pool: "p"},
+	}
+	c := galenalatch.Catalogue{Version: 1, Pools: []galenalatch.Pool{{Name: "p", CellsPerDataCentre: 1}}}
+	d := New(c, list)
+	for _, next := range []galenalatch.Catalogue{
+		{Version: 2, Pools: c.Pools, Entries: []galenalatch.Entry{{Workspace: "w"}}},
+		{Version: 3, Pools: c.Pools, OutOfService: []galenalatch.DataCentre{"a"}},
+		{Version: 4, Pools: []galenalatch.Pool{{Name: "p", CellsPerDataCentre: 2}}},
+		{Version: 5},
+		c,
+	} {
+		d = d.WithCatalogue(next)
+		want := New(next, list)
+		assert.Equal(t, d.Catalogue().Version, next.Version)
+		assert.DeepEqual(t, d.AllCells(), want.AllCells())
+		for _, id := range want.AllCells() {
+			assert.DeepEqual(t, d.Candidates(id), want.Candidates(id))
+			assert.DeepEqual(t, d.Servers(id), want.Servers(id))
+		}
+		assert.DeepEqual(t, d.Homes("w", "p"), want.Homes("w", "p"))
+	}
+}
--- a/internal/load/slopes/directories.go
+++ b/internal/load/slopes/directories.go
@@ -37,8 +37,20 @@
 			}
 		}
 		used := cpu() - began
+		began = cpu()
+		const limitChanges = 200
+		for i := range limitChanges {
+			next := c
+			next.Entries = []galenalatch.Entry{limits(i, 1)}
+			d = d.WithCatalogue(next)
+			if len(d.Candidates(d.AllCells()[0])) != n {
+				return nil, errors.New("the next directory lacks candidates")
+			}
+		}
+		limited := cpu() - began
 		points = append(points, Point{float64(n), map[string]float64{
-			"cells": float64(len(d.AllCells())), "cpu ms/change": float64(used.Microseconds()) / 1000 / times, "state B": live() - before,
+			"cpu ms/change of limits": float64(limited.Microseconds()) / 1000 / limitChanges,
+			"cells":                   float64(len(d.AllCells())), "cpu ms/change": float64(used.Microseconds()) / 1000 / times, "state B": live() - before,
 		}})
 		if d.Catalogue().Version != c.Version {
 			return nil, errors.New("the directory has another catalogue")
--- a/internal/load/slopes/parts.go
+++ b/internal/load/slopes/parts.go
@@ -130,14 +130,24 @@
 const changesMeasured = 50
 
 func catalogueOf(n int) (Point, error) {
-	encoded, err := json.Marshal(map[string]any{"snapshot": largeCatalogue(n)})
+	encoded, err := json.Marshal(struct {
+		Part  int `json:"part"`
+		Parts int `json:"parts"`
+		galenalatch.Change
+	}{1, 1, galenalatch.Diff(galenalatch.Catalogue{}, largeCatalogue(n))})
 	if err != nil {
 		return Point{}, err
 	}
 	before := live()
 	var dir *directory.Directory
 	list := bareInstances(50)
-	s := catalogue.New(nil, nil, catalogue.WithNotify(func(c galenalatch.Catalogue) { dir = directory.New(c, list) }))
+	s := catalogue.New(nil, nil, catalogue.WithNotify(func(c galenalatch.Catalogue) {
+		if dir == nil {
+			dir = directory.New(c, list)
+			return
+		}
+		dir = dir.WithCatalogue(c)
+	}))
 	keys := auth.New(s.Current)
 	if _, err := s.Learn([][]byte{encoded}); err != nil {
 		return Point{}, err
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -81,7 +81,7 @@
 		return
 	}
 	f.catalogue = c
-	f.directory.Store(directory.New(c, f.instances))
+	f.directory.Store(f.Directory().WithCatalogue(c))
 }
 
 // Run reads the instance list until the context ends. A list that cannot be
