Catch four mutants of the entry and the cell

Cause: without the epoch check, the lease epoch check, the serial check or the settle step, all tests of entry and cell passed. Change: cases and tests for each; the fake of the entry's tests answers lease questions with an epoch of its own.

--- a/internal/process/entry/entry_test.go
+++ b/internal/process/entry/entry_test.go
@@ -27,20 +27,22 @@
 	grant  func(*galenalatch.Grant)
 	remain int64
 
-	mu       sync.Mutex
-	epoch    galenalatch.Epoch
-	serial   uint64
-	out      bool
-	stale    bool
-	finishes []galenalatch.Finish
-	reports  int
-	confirm  bool
-	runs     int
-	claims   fakeClaims
+	mu    sync.Mutex
+	epoch galenalatch.Epoch
+	// leaseEpoch is the epoch of the answers to lease questions.
+	leaseEpoch galenalatch.Epoch
+	serial     uint64
+	out        bool
+	stale      bool
+	finishes   []galenalatch.Finish
+	reports    int
+	confirm    bool
+	runs       int
+	claims     fakeClaims
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, epoch: 1, remain: 4000, grant: func(*galenalatch.Grant) {}}
+	b := &bench{t: t, epoch: 1, leaseEpoch: 1, remain: 4000, grant: func(*galenalatch.Grant) {}}
 	b.run = func(o galenalatch.Order, s galenalatch.Sink) error {
 		if err := s.Head(http.StatusOK, http.Header{}); err != nil {
 			return err
@@ -85,7 +87,7 @@
 	defer b.mu.Unlock()
 	switch m := m.(type) {
 	case galenalatch.LeaseAsk:
-		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.epoch, Echo: m.Stamp, RemainingMillis: b.remain, Reported: b.confirm}
+		s := galenalatch.LeaseState{Cell: m.Cell, Epoch: b.leaseEpoch, Echo: m.Stamp, RemainingMillis: b.remain, Reported: b.confirm}
 		time.AfterFunc(time.Millisecond, func() { b.entry.Handle("d", s) })
 	case galenalatch.Enqueue:
 		if b.grant == nil {
@@ -179,7 +181,8 @@
 		failedLast bool
 	}{
 		{name: "answered", runs: 1, finishes: 1},
-		{name: "grant of an older epoch", change: func(b *bench) { b.epoch = 2 }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5},
+		{name: "newer holder is known by gossip only", change: func(b *bench) { b.epoch = 2 }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5},
+		{name: "newer lease is known", change: func(b *bench) { b.leaseEpoch = 2 }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5},
 		{name: "lease has run out", change: func(b *bench) { b.remain = 0 }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun, finishes: 5},
 		{name: "no grant", change: func(b *bench) { b.grant = nil }, kind: galenalatch.KindWaitTimeout, outcome: galenalatch.NotRun},
 		{name: "catalogue is stale", change: func(b *bench) { b.stale = true }, kind: galenalatch.KindCatalogueStale, outcome: galenalatch.NotRun},
@@ -332,3 +335,25 @@
 		assert.Equal(t, b.reports, 4)
 	})
 }
+
+// Guards against a late copy of a grant that was returned: its slot may be in
+// use by another request.
+func TestReturnedGrantIsNotUsedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		var first galenalatch.Grant
+		b.grant = func(g *galenalatch.Grant) {
+			if g.Serial == 1 {
+				first = *g
+				return
+			}
+			b.grant = nil
+			time.AfterFunc(0, func() { b.entry.Handle("d", first) })
+		}
+		b.run = func(galenalatch.Order, galenalatch.Sink) error {
+			return galenalatch.KindServerUnreached.Errorf("refused")
+		}
+		assert.Equal(t, galenalatch.KindOf(b.submit(galenalatch.Request{})), galenalatch.KindWaitTimeout)
+		assert.Equal(t, b.runs, 2)
+	})
+}
