platform/leases: observe a list of rows in all cells

Since the change of the intervals, a list was observed only by the cells that wanted it at that moment, so that cells that were added at different times asked for lists of their own. A list is observed by all cells again.

--- a/internal/platform/leases/run.go
+++ b/internal/platform/leases/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -96,6 +97,7 @@
 	list := !now.Before(s.nextList)
 	want := map[galenalatch.CellID]*cell{}
 	near, held := 0, 0
+	known := maps.Clone(s.cells)
 	for _, c := range s.cells {
 		if c.lease.Epoch() != 0 {
 			held++
@@ -122,7 +124,7 @@
 	case len(want) == 0:
 		return false
 	case list:
-		s.readList(ctx, want)
+		s.readList(ctx, want, known)
 	default:
 		s.readSingle(ctx, want)
 	}
@@ -141,7 +143,9 @@
 	return ok && row.Holder != "" && !s.reachable(row.Holder)
 }
 
-func (s *Store) readList(ctx context.Context, want map[galenalatch.CellID]*cell) {
+// readList reads all rows. They are observed in all cells that were known
+// before, so that the next list is wanted by all of them at the same time.
+func (s *Store) readList(ctx context.Context, want, known map[galenalatch.CellID]*cell) {
 	list, err := s.table.List(ctx, prefix)
 	rows := make(map[string]galenalatch.Row, len(list))
 	for _, r := range list {
@@ -150,14 +154,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	// A cell that was added after the read was sent is not observed.
-	for id, c := range want {
+	for id, c := range known {
 		row, ok := rows[key(id)]
-		rowErr := err
-		if err == nil && !ok {
-			rowErr = galenalatch.KindNotFound.Errorf("no lease row of %s", id)
+		switch {
+		case err != nil && want[id] != nil:
+			c.observe(now, galenalatch.Row{}, err, s.config.Renew)
+		case err == nil && ok:
+			c.observe(now, row, nil, s.config.Renew)
+		case err == nil:
+			c.observe(now, galenalatch.Row{}, galenalatch.KindNotFound.Errorf("no lease row of %s", id), s.config.Renew)
 		}
-		c.observe(now, row, rowErr, s.config.Renew)
 	}
 }
 
--- a/internal/platform/leases/store_test.go
+++ b/internal/platform/leases/store_test.go
@@ -245,3 +245,27 @@
 		assert.Equal(t, far.count(func(st leases.State) bool { return st.Held }), cellCount)
 	})
 }
+
+// TestListsTogether guards against cells that want their lists at different
+// times, so that a router lists the rows more often than every half second.
+func TestListsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platform.New()
+		start(t, s, "holder", 0)
+		wait(2 * time.Second)
+		p := start(t, s, "other", 1)
+		p.SetRouters(4)
+		for i := range 5 {
+			ranks := cells(1)
+			for j := range i + 1 {
+				ranks[galenalatch.CellID{Pool: "late", DataCentre: "d", Index: j}] = -1
+			}
+			p.SetCells(ranks)
+			wait(130 * time.Millisecond)
+		}
+		before := s.Stats().Reads
+		wait(10 * time.Second)
+		reads := s.Stats().Reads - before
+		assert.Assert(t, reads <= 25, "%d reads in 10 s", reads)
+	})
+}
