--- a/cmd/galenalatch/fleet_test.go
+++ b/cmd/galenalatch/fleet_test.go
@@ -75,10 +75,22 @@
 	return l.Addr().String(), nil
 }
 
+// free closes the listeners and waits until nothing listens any more: a
+// process that another scenario has forked at the same moment holds copies
+// of them until its exec.
 func (p *ports) free() {
 	for _, l := range p.listeners {
 		_ = l.Close()
 	}
+	for _, l := range p.listeners {
+		for range 1000 {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				break
+			}
+			_ = c.Close()
+		}
+	}
 }
 
 // fleetCommand writes the settings of a fleet: fleet [flags]. The operators'
