--- a/internal/decide/cell/cell_test.go
+++ b/internal/decide/cell/cell_test.go
@@ -338,14 +338,15 @@
 }
 
 // Guards against a workspace that gains by a wrong estimate: the charge of a
-// request must be settled to its true cost, up and down.
+// request must follow its cost while it runs and be settled, up and down.
 func TestChargeIsSettled(t *testing.T) {
 	for _, units := range []int64{1, 40} {
 		c := newCell(t)
 		enqueue(c, start, "1")
 		g := grantsOf(c.Tick(start))[0]
-		c.Handle(start, "e", galenalatch.Progress{Cell: cellID, Used: []galenalatch.Used{{Serial: g.Serial}}})
+		c.Handle(start, "e", galenalatch.Progress{Cell: cellID, Used: []galenalatch.Used{{Serial: g.Serial, Units: 25}}})
 		before := c.Handover().Counters["w"]
+		assert.Equal(t, before, int64(25))
 		c.Handle(start, "e", galenalatch.Finish{Cell: cellID, Request: g.Request, Serial: g.Serial, Units: units, Completed: true, Outcome: galenalatch.Answered})
 		assert.Assert(t, before != units)
 		assert.Equal(t, c.Handover().Counters["w"], units)
