Put candidates of other data centres early

Cause: all routers of a cell's data centre came before those of others, so after the loss of a data centre with 67 routers the takeover waited 13 s for their ranks alone. Change: two routers of the own data centre come first, then all others in the order of the hash. Measured: with 400 routers in 6 data centres the first candidate elsewhere has rank 2 to 10, before 67 (TestCandidatesOfOtherDataCentresComeEarly).

--- a/internal/decide/directory/directory.go
+++ b/internal/decide/directory/directory.go
@@ -164,10 +164,17 @@
 	return append(ranked, last...)
 }
 
+// nearCandidates is the number of candidates of the cell's own data centre
+// that come before those of others. Two cover the loss of one router; with
+// more, the loss of the data centre would delay the takeover by 200 ms for
+// each of its routers.
+const nearCandidates = 2
+
 // Candidates returns the routers in the order in which they try to take the
 // lease of a cell. The first one is chosen so that the cells spread evenly.
-// Routers in the cell's data centre come before others; leaving routers and
-// routers in data centres that are out of service come last.
+// Two routers of the cell's data centre come first, then all others in the
+// order of their hash; leaving routers and routers in data centres that are
+// out of service come last.
 func (d *Directory) Candidates(c galenalatch.CellID) []galenalatch.RouterID {
 	d.ranking.once.Do(d.assign)
 	return d.ranking.candidates[c]
@@ -180,8 +187,8 @@
 	d.ranking.candidates = make(map[galenalatch.CellID][]galenalatch.RouterID)
 	first := make(map[galenalatch.RouterID]int)
 	for _, c := range d.AllCells() {
-		groups := d.groups(c)
-		for _, g := range groups {
+		near, usable, last := d.groups(c)
+		for _, g := range [][]galenalatch.RouterID{near, usable, last} {
 			if len(g) == 0 {
 				continue
 			}
@@ -192,30 +199,32 @@
 			g[0] = least
 			break
 		}
-		d.ranking.candidates[c] = slices.Concat(groups...)
+		near = near[:min(nearCandidates, len(near))]
+		others := slices.DeleteFunc(usable, func(r galenalatch.RouterID) bool { return slices.Contains(near, r) })
+		d.ranking.candidates[c] = slices.Concat(near, others, last)
 	}
 }
 
-// groups returns the routers of the cell's data centre, the other routers,
-// and those that should not take the lease, each in order of preference.
-func (d *Directory) groups(c galenalatch.CellID) [][]galenalatch.RouterID {
+// groups returns the usable routers of the cell's data centre, all usable
+// routers, and those that should not take the lease, each in the order of
+// the hash.
+func (d *Directory) groups(c galenalatch.CellID) (near, usable, last []galenalatch.RouterID) {
 	byName := make(map[string]galenalatch.Instance, len(d.routers))
 	names := make([]string, 0, len(d.routers))
 	for _, r := range d.routers {
 		byName[r.ID] = r
 		names = append(names, r.ID)
 	}
-	groups := make([][]galenalatch.RouterID, 3)
 	for _, n := range (rendezvous.Hash{Seed: "leases"}).Rank(c.String(), names) {
-		r := byName[n]
-		g := 1
-		switch {
-		case r.Leaving || d.out[r.DataCentre]:
-			g = 2
-		case r.DataCentre == c.DataCentre:
-			g = 0
+		r, id := byName[n], galenalatch.RouterID(n)
+		if r.Leaving || d.out[r.DataCentre] {
+			last = append(last, id)
+			continue
+		}
+		usable = append(usable, id)
+		if r.DataCentre == c.DataCentre {
+			near = append(near, id)
 		}
-		groups[g] = append(groups[g], galenalatch.RouterID(n))
 	}
-	return groups
+	return near, usable, last
 }
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -100,3 +100,31 @@
 		assert.DeepEqual(t, d.Homes("w", "p"), want.Homes("w", "p"))
 	}
 }
+
+// Guards against a takeover that waits for every router of a lost data
+// centre in turn.
+func TestCandidatesOfOtherDataCentresComeEarly(t *testing.T) {
+	c := galenalatch.Catalogue{Pools: []galenalatch.Pool{{Name: "plans", Kind: galenalatch.ModelPool, CellsPerDataCentre: 5}}}
+	var list []galenalatch.Instance
+	for i := range 400 {
+		dc := galenalatch.DataCentre(fmt.Sprint("d", i%6))
+		list = append(list,
+			galenalatch.Instance{ID: fmt.Sprint("w", i), Role: galenalatch.ServerRole, DataCentre: dc, Pool: "plans"},
+			galenalatch.Instance{ID: fmt.Sprint("r", i), Role: galenalatch.RouterRole, DataCentre: dc})
+	}
+	d := New(c, list)
+	where := map[galenalatch.RouterID]galenalatch.DataCentre{}
+	for _, in := range list {
+		where[galenalatch.RouterID(in.ID)] = in.DataCentre
+	}
+	for _, id := range d.AllCells() {
+		ranked := d.Candidates(id)
+		assert.Equal(t, len(ranked), 400)
+		other := 0
+		for where[ranked[other]] == id.DataCentre {
+			other++
+		}
+		// At 200 ms a rank, 2 s are left of the 7 s for a lost data centre.
+		assert.Assert(t, other >= 2 && other <= 10, "%d", other)
+	}
+}
