Ask again at once after a declined grant

Cause: an entry that declined a grant of a request that still waits asked its dispatcher again only after 2 s. Change: the next look of the entry, within 100 ms, sends the Enqueue.

--- a/internal/process/entry/grant.go
+++ b/internal/process/entry/grant.go
@@ -51,6 +51,10 @@
 	p, waits := e.pending[g.Request]
 	if !waits || g.Ask || g.Serial <= e.serials[g.Request][g.Cell] {
 		e.decline(g)
+		if waits {
+			// The cell forgets the request with the grant.
+			p.sent = time.Time{}
+		}
 		return
 	}
 	e.serials[g.Request][g.Cell] = g.Serial
