--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -81,8 +81,6 @@
 		// HeaderBytes and BodyBytes bound a caller's request.
 		HeaderBytes int   `json:"headerBytes" validate:"min=1024,max=1048576"`
 		BodyBytes   int64 `json:"bodyBytes" validate:"min=1024,max=67108864"`
-		// MessageBytes bounds a control message between routers.
-		MessageBytes int64 `json:"messageBytes" validate:"min=4096,max=16777216"`
 		// ConnectionsPerWorkspace bounds the requests of one workspace that
 		// this router holds at once.
 		ConnectionsPerWorkspace int `json:"connectionsPerWorkspace" validate:"min=1,max=100000"`
@@ -107,7 +105,6 @@
 	s.Log.Format = "logfmt"
 	s.Limits.HeaderBytes = 16 << 10
 	s.Limits.BodyBytes = 4 << 20
-	s.Limits.MessageBytes = 256 << 10
 	s.Limits.ConnectionsPerWorkspace = 512
 	s.Limits.HeldBytesPerWorkspace = 64 << 20
 	return s
