Let the fake entry of the failure test check the lender's lease

The trace shows a grant on a lent slot of a lender without a lease. The entry of the product asks the holders of both cells and refuses such a grant; the fake entry asked only that of the home cell. Ruled out: the cell's own counting, the oracle (unchanged). Conclusion: the check of the lender's lease is needed to keep P3.

--- a/internal/decide/cell/entry_test.go
+++ b/internal/decide/cell/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/galenalatch/galenalatch"
 )
@@ -46,8 +47,20 @@
 		n.send(from, refuse)
 		return
 	}
-	v := n.leases[g.Cell]
-	valid := v.epoch == g.Epoch && (w.now.Before(v.until) || v.lapsed && g.Lapsed) || !w.leases
+	valid := n.confirmed(g.Cell, g.Epoch) && n.confirmed(g.ServerCell, g.ServerEpoch)
+	if !g.Ask && !valid && k.confirms < maxConfirms {
+		// Like the entry, the fake waits for the word of both holders before
+		// it uses a grant.
+		k.confirms++
+		for _, c := range []galenalatch.CellID{g.Cell, g.ServerCell} {
+			if h, ok := n.holders[c]; ok {
+				n.send(h.Router, galenalatch.LeaseAsk{Cell: c, Stamp: w.now.Sub(start).Milliseconds()})
+			}
+		}
+		w.after(confirmPause, func() { n.do(func() { n.granted(from, g) }) })
+		return
+	}
+	k.confirms = 0
 	k.seen[g.Cell] = g.Serial
 	if g.Ask || k.home != g.Cell || !valid || g.Epoch < n.holders[g.Cell].Epoch || g.ServerEpoch < n.holders[g.ServerCell].Epoch {
 		n.send(from, refuse)
@@ -68,6 +81,21 @@
 	s.begin(k)
 }
 
+// maxConfirms and confirmPause bound the wait for a lender to one second, as
+// in the entry.
+const (
+	maxConfirms  = 10
+	confirmPause = 100 * time.Millisecond
+)
+
+// confirmed reports whether the lease of a cell is known to be valid. The
+// word of a lapsed holder counts for a second.
+func (n *node) confirmed(c galenalatch.CellID, e galenalatch.Epoch) bool {
+	w := n.world
+	v := n.leases[c]
+	return !w.leases || v.epoch == e && (w.now.Before(v.until) || v.lapsed && w.now.Sub(v.heard) < time.Second)
+}
+
 // finished ends a run. A broken run is repeated twice.
 func (n *node) finished(k *call, o galenalatch.Outcome, failed bool) {
 	if k.ended {
--- a/internal/decide/cell/node_test.go
+++ b/internal/decide/cell/node_test.go
@@ -44,10 +44,14 @@
 	until  time.Time
 	lapsed bool
 	asked  time.Time
+	// heard is when the question was sent that the newest answer echoes.
+	heard time.Time
 }
 
 // call is a caller's request.
 type call struct {
+	// confirms counts the waits for the word of a grant's holders.
+	confirms   int
 	node       *node
 	id         galenalatch.RequestID
 	workspace  galenalatch.WorkspaceName
@@ -149,7 +153,7 @@
 	case galenalatch.Grant:
 		n.granted(from, m)
 	case galenalatch.LeaseState:
-		v := leaseView{epoch: m.Epoch, until: start.Add(time.Duration(m.Echo+m.RemainingMillis) * time.Millisecond), lapsed: m.Lapsed, asked: n.leases[m.Cell].asked}
+		v := leaseView{epoch: m.Epoch, until: start.Add(time.Duration(m.Echo+m.RemainingMillis) * time.Millisecond), lapsed: m.Lapsed, asked: n.leases[m.Cell].asked, heard: start.Add(time.Duration(m.Echo) * time.Millisecond)}
 		if old := n.leases[m.Cell]; m.Epoch >= old.epoch {
 			if m.Epoch == old.epoch && old.until.After(v.until) {
 				v.until = old.until
