--- /dev/null
+++ b/internal/config/gateway/settings.go
@@ -0,0 +1,128 @@
+// Package gateway holds the settings of a gateway process: a JSON document
+// with camel-case names, read at the start and on SIGHUP.
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/config/check"
+	"github.com/galenalatch/galenalatch/internal/config/duration"
+	"github.com/galenalatch/galenalatch/internal/config/strict"
+)
+
+// maxFaults bounds the faults that one error lists.
+const maxFaults = 20
+
+// Settings are the settings of one gateway process.
+type Settings struct {
+	// ID is the instance's name. It is the same after a restart.
+	ID         galenalatch.RouterID   `json:"id" validate:"required,max=64,printascii"`
+	DataCentre galenalatch.DataCentre `json:"dataCentre" validate:"required,max=64,printascii"`
+
+	// Listen holds the addresses to listen on.
+	Listen struct {
+		Caller    string `json:"caller" validate:"required,addrport"`
+		Readiness string `json:"readiness" validate:"required,addrport"`
+		Peer      string `json:"peer" validate:"required,addrport"`
+		Metrics   string `json:"metrics" validate:"required,addrport"`
+	} `json:"listen"`
+
+	Store struct {
+		Address string `json:"address" validate:"required,addrport"`
+	} `json:"store"`
+
+	// MemoryMegabytes bounds the memory of the process.
+	MemoryMegabytes int64 `json:"memoryMegabytes" validate:"min=32,max=1048576"`
+
+	// KeyRemoval is the time after which a removed key must not be accepted
+	// any more, on no router.
+	KeyRemoval duration.Duration `json:"keyRemoval" validate:"between=500ms:10m"`
+
+	// Drain.Limit is the time from SIGTERM to the end of the process.
+	Drain struct {
+		Limit duration.Duration `json:"limit" validate:"between=1s:24h"`
+	} `json:"drain"`
+
+	// Repeats bound the requests that are sent to a second server, for each
+	// service over the whole fleet: Ratio of the requests plus Fixed, in
+	// each window.
+	Repeats struct {
+		Ratio  float64           `json:"ratio" validate:"min=0,max=10"`
+		Fixed  float64           `json:"fixed" validate:"min=0,max=1000000"`
+		Window duration.Duration `json:"window" validate:"between=1s:10m"`
+	} `json:"repeats"`
+
+	// Cold bounds the requests of a cold server in a second, over the whole
+	// fleet: the service's rate times Over, plus Slack.
+	Cold struct {
+		Over  float64 `json:"over" validate:"min=0,max=100"`
+		Slack float64 `json:"slack" validate:"min=0,max=1000"`
+	} `json:"cold"`
+
+	// Engine describes the model engines before anything was measured.
+	Engine struct {
+		// ReadRate is in prompt tokens per millisecond.
+		ReadRate   float64           `json:"readRate" validate:"min=0.1,max=100000"`
+		FirstToken duration.Duration `json:"firstToken" validate:"between=0s:10s"`
+	} `json:"engine"`
+
+	Log struct {
+		Level  string `json:"level" validate:"oneof=debug info warn error"`
+		Format string `json:"format" validate:"oneof=text json logfmt"`
+	} `json:"log"`
+}
+
+// Default returns the values of fields that a document leaves out.
+func Default() Settings {
+	var s Settings
+	s.MemoryMegabytes = 256
+	s.KeyRemoval = duration.Duration(5 * time.Second)
+	s.Drain.Limit = duration.Duration(8 * time.Second)
+	s.Repeats.Ratio, s.Repeats.Fixed, s.Repeats.Window = 0.2, 20, duration.Duration(10*time.Second)
+	s.Cold.Over, s.Cold.Slack = 1.5, 5
+	s.Engine.ReadRate, s.Engine.FirstToken = 51, duration.Duration(50*time.Millisecond)
+	s.Log.Level, s.Log.Format = "info", "logfmt"
+	return s
+}
+
+// Load reads and checks the document in the file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+var checker = check.New()
+
+// Parse decodes and checks a document.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	if err := strict.Decode(data, &s); err != nil {
+		return Settings{}, err
+	}
+	if faults, _ := checker.Faults(s, maxFaults); len(faults) > 0 {
+		return Settings{}, errors.New(strings.Join(faults, "\n"))
+	}
+	return s, nil
+}
+
+// String returns the settings as an indented JSON document.
+func (s Settings) String() string {
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
--- /dev/null
+++ b/internal/decide/placement/progress.go
@@ -0,0 +1,127 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// Result says how the exchange at a place ended.
+type Result string
+
+// The results of exchanges.
+const (
+	// Served requests got an answer.
+	Served Result = "served"
+	// Failed requests got an answer that says that the server failed.
+	Failed Result = "failed"
+	// Shed requests were rejected without having run.
+	Shed Result = "shed"
+	// Broken exchanges got no whole answer.
+	Broken Result = "broken"
+	// Unreached servers could not be connected.
+	Unreached Result = "unreached"
+	// Cancelled exchanges say nothing about the server.
+	Cancelled Result = "cancelled"
+)
+
+func seedOf(r galenalatch.RouterID) uint64 {
+	return xxhash.Sum64String(string(r))
+}
+
+func (t *Table) reserve(now time.Time, p *Place) {
+	s := p.server
+	s.running++
+	p.sent = now
+	if len(s.reading) == 0 {
+		s.readSince = now
+	}
+	s.reading[p] = struct{}{}
+	s.coldCount(now)
+	s.coldSends = append(s.coldSends, now)
+}
+
+// First records the first token of the answer. The server has read the
+// prompt by then.
+func (t *Table) First(now time.Time, p *Place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endReading(now, p)
+	for i, k := range p.keys {
+		p.server.kept.Add(k, p.parts[i].Tokens)
+	}
+}
+
+func (t *Table) endReading(now time.Time, p *Place) {
+	s := p.server
+	if _, ok := s.reading[p]; !ok {
+		return
+	}
+	delete(s.reading, p)
+	// The engine reads in order of arrival: the next one begins now.
+	s.readSince = now
+}
+
+// Done ends a place.
+func (t *Table) Done(now time.Time, p *Place, r Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := p.server
+	t.endReading(now, p)
+	s.running--
+	switch r {
+	case Served:
+		s.failed(0)
+		s.pause = 0
+	case Failed:
+		s.failed(1)
+	case Broken:
+		s.failed(1)
+		s.unreachable(now)
+	case Unreached:
+		s.unreachable(now)
+	case Shed:
+		s.pausedTo = now.Add(shedPause)
+	}
+}
+
+// shedPause is the time for which a full server gets no new requests.
+const shedPause = 50 * time.Millisecond
+
+// Reported records the load that a server sent with an answer.
+func (t *Table) Reported(now time.Time, id galenalatch.ServerID, l galenalatch.ServerLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.servers[id]; ok {
+		s.load, s.loadAt = l, now
+	}
+}
+
+// Own returns what this router has under way, without idle servers.
+func (t *Table) Own(now time.Time) map[galenalatch.ServerID]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := make(map[galenalatch.ServerID]Load)
+	for id, s := range t.servers {
+		if s.running > 0 {
+			loads[id] = Load{Running: s.running, Reading: s.backlog(now)}
+		}
+	}
+	return loads
+}
+
+// SetRemote records what another router has under way.
+func (t *Table) SetRemote(now time.Time, r galenalatch.RouterID, loads map[galenalatch.ServerID]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remote[r] = remoteLoad{at: now, loads: loads}
+}
+
+// Forget drops what another router had under way.
+func (t *Table) Forget(r galenalatch.RouterID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.remote, r)
+}
--- /dev/null
+++ b/internal/fleet/view/view.go
@@ -0,0 +1,213 @@
+// Package view keeps a router's copy of what operators and backend servers
+// have published in the store.
+//
+// The copy follows the store's change feeds. It never goes back: an update
+// with an older version changes nothing. While the store is away the copy
+// stays as it is, and Age says how old the newest proof of it is.
+package view
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/proof"
+)
+
+const (
+	// answerTime is how long a call may take beyond the time that the store
+	// was asked to wait.
+	answerTime = 900 * time.Millisecond
+	// firstPause and longestPause bound the pause between failed calls.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+	// returnTime is how long after the store's return the entries of live
+	// servers may still be missing.
+	returnTime = 2200 * time.Millisecond
+	// removalDelay is how long a server whose entry is missing then stays in
+	// use. It is shorter than the time in which a leaving server must get no
+	// new requests.
+	removalDelay = 1700 * time.Millisecond
+)
+
+// Options configure a View.
+type Options struct {
+	Store  galenalatch.Store
+	Table  *placement.Table
+	Clock  func() time.Duration
+	Events Events
+	// OperatorWait and ServerWait are how long the store holds a call
+	// without a change. They bound the age of the proof of the copy.
+	OperatorWait time.Duration
+	ServerWait   time.Duration
+}
+
+// Events are told what changes the view. They must not block.
+type Events interface {
+	// Lost and Regained report the feed of a table.
+	Lost(feed string, err error)
+	Regained(feed string, after time.Duration)
+	Applied(c *galenalatch.Configuration, position galenalatch.Position)
+	OutOfService(d galenalatch.DataCentre, out bool, position galenalatch.Position)
+	Server(r galenalatch.Registration, position galenalatch.Position)
+	ServerGone(id galenalatch.ServerID, position galenalatch.Position)
+	Invalid(feed string, err error)
+}
+
+// View is the copy. It is safe for concurrent use.
+type View struct {
+	Options
+	configuration atomic.Pointer[galenalatch.Configuration]
+
+	mu      sync.Mutex
+	tracker proof.Tracker
+	out     map[galenalatch.DataCentre]bool
+	// trouble is when a call of the servers' feed failed last.
+	trouble time.Time
+}
+
+// New returns a view without a configuration.
+func New(o Options) *View {
+	return &View{Options: o, out: make(map[galenalatch.DataCentre]bool)}
+}
+
+// Configuration returns the newest configuration, or nil.
+func (v *View) Configuration() *galenalatch.Configuration {
+	return v.configuration.Load()
+}
+
+// Age returns the age of the newest proof that the configuration is the
+// newest of the store. It reports false without one.
+func (v *View) Age() (time.Duration, bool) {
+	now := v.Clock()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.Age(now)
+}
+
+// Run follows the store until ctx ends.
+func (v *View) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	operators := &feed{view: v, name: "operators", wait: v.OperatorWait, read: v.readOperators}
+	servers := &feed{view: v, name: "servers", wait: v.ServerWait, read: v.readServers, failed: v.serversFailed}
+	g.Go(func() error { return operators.run(ctx) })
+	g.Go(func() error { return servers.run(ctx) })
+	return g.Wait()
+}
+
+func (v *View) readOperators(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+	sent := v.Clock()
+	u, err := v.Store.Operators(ctx, after, wait)
+	received := v.Clock()
+	if err := older(u.Position, seen, err); err != nil {
+		return u.Position, err
+	}
+	for _, e := range u.Invalid {
+		v.Events.Invalid("operators", e)
+	}
+	if c := u.Configuration; c != nil {
+		v.apply(c, u.Position)
+	}
+	v.outOfService(u)
+	if len(u.Invalid) > 0 && v.Configuration() == nil {
+		return u.Position, errors.Join(u.Invalid...)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.Observe(sent, received, u.Clock)
+	return u.Position, nil
+}
+
+// apply replaces the configuration by a newer one.
+func (v *View) apply(c *galenalatch.Configuration, p galenalatch.Position) {
+	old := v.configuration.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	v.Table.SetServices(c.Services)
+	v.configuration.Store(c)
+	v.Events.Applied(c, p)
+}
+
+// outOfService applies the operators' list of data centres. A complete
+// update holds all that are out of service.
+func (v *View) outOfService(u galenalatch.OperatorUpdate) {
+	next := make(map[galenalatch.DataCentre]bool)
+	v.mu.Lock()
+	if !u.Complete {
+		for d := range v.out {
+			next[d] = true
+		}
+	}
+	for _, d := range u.In {
+		delete(next, d)
+	}
+	for _, d := range u.Out {
+		next[d] = true
+	}
+	old := v.out
+	v.out = next
+	v.mu.Unlock()
+	now := time.Now()
+	for d := range next {
+		if !old[d] {
+			v.Table.SetOut(now, d, true)
+			v.Events.OutOfService(d, true, u.Position)
+		}
+	}
+	for d := range old {
+		if !next[d] {
+			v.Table.SetOut(now, d, false)
+			v.Events.OutOfService(d, false, u.Position)
+		}
+	}
+}
+
+func (v *View) serversFailed(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.trouble = now
+}
+
+func (v *View) readServers(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+	u, err := v.Store.Servers(ctx, after, wait)
+	if err := older(u.Position, seen, err); err != nil {
+		return u.Position, err
+	}
+	for _, e := range u.Invalid {
+		v.Events.Invalid("servers", e)
+	}
+	now := time.Now()
+	v.mu.Lock()
+	at := now
+	if now.Sub(v.trouble) < returnTime+answerTime {
+		// Entries lapse while the store is away and come back soon after.
+		at = now.Add(removalDelay)
+	}
+	v.mu.Unlock()
+	present := make(map[galenalatch.ServerID]bool, len(u.Present))
+	for _, r := range u.Present {
+		present[r.ID] = true
+		v.Table.Put(now, r)
+		v.Events.Server(r, u.Position)
+	}
+	gone := u.Gone
+	if u.Complete {
+		for _, id := range v.Table.IDs() {
+			if !present[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		v.Table.Remove(id, at)
+		v.Events.ServerGone(id, u.Position)
+	}
+	return u.Position, nil
+}
--- a/internal/process/command/commands.go
+++ b/internal/process/command/commands.go
@@ -38,6 +38,11 @@
 	r.Flag("check", "Check the settings and exit.").BoolVar(&c.check)
 	r.Action(c.action(c.router))
 
+	g := app.Command("gateway", "Run a router that serves operators' routes in front of registered backend servers.")
+	g.Flag("settings", "File with the gateway's settings in JSON.").Envar(settingsVariable).StringVar(&c.path)
+	g.Flag("check", "Check the settings and exit.").BoolVar(&c.check)
+	g.Action(c.action(c.gateway))
+
 	s := app.Command("settings", "Print the default settings of a router.")
 	s.Action(c.action(c.printSettings))
 
--- /dev/null
+++ b/internal/process/command/gateway.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"golang.org/x/sync/errgroup"
+
+	settings "github.com/galenalatch/galenalatch/internal/config/gateway"
+	"github.com/galenalatch/galenalatch/internal/process/gateway"
+	"github.com/galenalatch/galenalatch/internal/telemetry/sink"
+)
+
+// settingsVariable names the settings file of a gateway when the flag is not
+// given.
+const settingsVariable = "GALENALATCH_BOOT"
+
+// gateway runs a gateway until the process is told to stop. Its log is
+// written to standard output by another goroutine.
+func (c *Commands) gateway(ctx context.Context) error {
+	if c.path == "" {
+		return fmt.Errorf("no settings file: give --settings or set %s", settingsVariable)
+	}
+	if c.check {
+		s, err := settings.Load(c.path)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(c.out, "%s: settings of gateway %q are valid\n", c.path, s.ID)
+		return err
+	}
+	lines := sink.New(os.Stdout)
+	g, err := gateway.New(c.path, lines)
+	if err != nil {
+		return err
+	}
+	written, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return lines.Run(written) })
+	err = g.Run(ctx)
+	stop()
+	return errors.Join(err, group.Wait())
+}
--- /dev/null
+++ b/internal/process/gateway/events.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/caller/host"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+)
+
+// observer writes the decisions of the gateway's parts to the log and counts
+// them. It implements view.Events and host.Events.
+type observer struct {
+	log   *events.Log
+	count *counters
+}
+
+// Lost implements view.Events.
+func (o observer) Lost(feed string, err error) {
+	o.log.Event(events.StoreLost, "feed", feed, "error", err)
+}
+
+// Regained implements view.Events.
+func (o observer) Regained(feed string, after time.Duration) {
+	o.log.Event(events.StoreRegained, "feed", feed, "after", after.Round(time.Millisecond))
+}
+
+// Applied implements view.Events.
+func (o observer) Applied(c *galenalatch.Configuration, p galenalatch.Position) {
+	o.log.Event(events.ConfigurationIn, "configuration", c.Version, "store", p.Version, "routes", len(c.Routes), "keys", len(c.Keys))
+}
+
+// OutOfService implements view.Events.
+func (o observer) OutOfService(d galenalatch.DataCentre, out bool, p galenalatch.Position) {
+	n := events.DataCentreIn
+	if out {
+		n = events.DataCentreOut
+	}
+	o.log.Event(n, "dataCentre", d, "store", p.Version)
+}
+
+// Server implements view.Events.
+func (o observer) Server(r galenalatch.Registration, p galenalatch.Position) {
+	o.log.Event(events.ServerEntry, "server", r.ID, "service", r.Service, "address", r.Address, "dataCentre", r.DataCentre,
+		"leaving", r.Leaving, "coldFor", r.ColdFor, "store", p.Version)
+}
+
+// ServerGone implements view.Events.
+func (o observer) ServerGone(id galenalatch.ServerID, p galenalatch.Position) {
+	o.log.Event(events.ServerEntryGone, "server", id, "store", p.Version)
+}
+
+// Invalid implements view.Events.
+func (o observer) Invalid(feed string, err error) {
+	o.log.Event(events.EntryInvalid, "feed", feed, "error", err)
+}
+
+// Placed implements host.Events.
+func (o observer) Placed(r galenalatch.RequestID, d host.Decision) {
+	o.log.Event(events.RequestPlaced, "request", r, "route", d.Route, "workspace", d.Workspace, "server", d.Server, "attempt", d.Attempt,
+		"configuration", d.Configuration, "proofAge", millis(d.ProofAge), "wait", millis(d.Wait), "cached", d.Cached, "cold", d.Cold, "waited", millis(d.Waited))
+}
+
+// Attempted implements host.Events.
+func (o observer) Attempted(r galenalatch.RequestID, d host.Decision, status int, err error) {
+	if err == nil {
+		return
+	}
+	o.log.Event(events.AttemptEnded, "request", r, "server", d.Server, "attempt", d.Attempt, "status", status, "error", err)
+	o.count.attempts.WithLabelValues("failed").Inc()
+}
+
+// Refused implements host.Events.
+func (o observer) Refused(r galenalatch.RequestID, d host.Decision, err error) {
+	o.log.Event(events.GatewayRefused, "request", r, "route", d.Route, "workspace", d.Workspace, "configuration", d.Configuration,
+		"proofAge", millis(d.ProofAge), "wait", millis(d.Wait), "waited", millis(d.Waited), "error", err)
+	o.count.refusals.WithLabelValues(string(galenalatch.KindOf(err))).Inc()
+}
+
+// Ended implements host.Events.
+func (o observer) Ended(r galenalatch.RequestID, d host.Decision, status int, err error) {
+	if err == nil {
+		o.log.Event(events.GatewayAnswered, "request", r, "server", d.Server, "status", status, "first", millis(d.First))
+	} else {
+		o.log.Event(events.GatewayAnswered, "request", r, "server", d.Server, "status", status, "first", millis(d.First), "error", err)
+	}
+	o.count.ended(d, status, err)
+}
+
+// millis shortens durations in log lines.
+func millis(d time.Duration) time.Duration {
+	return d.Round(time.Millisecond)
+}
--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,306 @@
+// Package gateway runs a router that serves operators' routes in front of
+// registered backend servers. It keeps nothing: what must last is in the
+// platform's store.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/dial"
+	"github.com/galenalatch/galenalatch/internal/backend/exchange"
+	"github.com/galenalatch/galenalatch/internal/caller/host"
+	"github.com/galenalatch/galenalatch/internal/config/gateway"
+	"github.com/galenalatch/galenalatch/internal/decide/budget"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/fleet/view"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
+	"github.com/galenalatch/galenalatch/internal/telemetry/sink"
+	"github.com/galenalatch/galenalatch/platform"
+)
+
+const (
+	// memoryShare of the memory limit is for the heap; the rest is for
+	// stacks, socket buffers and the program.
+	memoryShare = 0.7
+	// collectorPercent lets the heap grow further before a collection, since
+	// processor time is scarcer than memory.
+	collectorPercent = 300
+	// operatorWait bounds the age of the proof of the configuration while
+	// nothing changes.
+	operatorWait = 1500 * time.Millisecond
+	serverWait   = 2500 * time.Millisecond
+	// storeSilence and serverSilence bound the time after which a silent
+	// connection counts as broken.
+	storeSilence  = time.Second
+	serverSilence = time.Second
+	// dialTime bounds the opening of a connection to a backend server.
+	dialTime = 400 * time.Millisecond
+	maxIdle  = 16
+	// housekeeping is the interval of expiring connections and servers.
+	housekeeping = 250 * time.Millisecond
+	// proofMargin is subtracted from the time within which a removed key
+	// must not be used any more.
+	proofMargin = 150 * time.Millisecond
+	// readyProof is the share of the allowed age of the proof above which
+	// the router is not ready.
+	readyProof = 0.9
+	// drainNotice is how long new connections are accepted after SIGTERM,
+	// until the balancer has seen twice that the router is not ready.
+	drainNotice = 3 * time.Second
+	// drainMargin is left at the end of the drain for the last log lines.
+	drainMargin = 300 * time.Millisecond
+	// headerTime bounds the time for the head of a request, and idleTime the
+	// pause between requests on a connection, unless operators limit them.
+	headerTime = 10 * time.Second
+	idleTime   = 2 * time.Minute
+)
+
+// Gateway is one router process.
+type Gateway struct {
+	settings gateway.Settings
+	path     string
+	log      *events.Log
+	lines    *sink.Writer
+	count    *counters
+	table    *placement.Table
+	view     *view.View
+	client   *exchange.Client
+	handler  *host.Handler
+	draining atomic.Bool
+	wasReady atomic.Bool
+}
+
+// New returns a gateway with the settings in a file. Its log goes to out.
+func New(path string, out *sink.Writer) (*Gateway, error) {
+	s, err := gateway.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	log, err := events.New(out, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{settings: s, path: path, log: log.With("router", s.ID), lines: out}
+	g.count = newCounters(out.Dropped)
+	observe := observer{log: g.log, count: g.count}
+	g.table = placement.New(placement.Options{
+		Self: s.ID, Local: s.DataCentre, ReadRate: s.Engine.ReadRate, FirstToken: s.Engine.FirstToken.Std(),
+		ColdOver: s.Cold.Over, ColdSlack: s.Cold.Slack,
+	})
+	g.table.SetMembers([]galenalatch.RouterID{s.ID})
+	store := platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext)
+	g.view = view.New(view.Options{
+		Store: store, Table: g.table, Clock: steady, Events: observe,
+		OperatorWait: operatorWait, ServerWait: serverWait,
+	})
+	g.client = exchange.New(exchange.Options{
+		Dial: dial.Dialer{Silence: serverSilence}.DialContext, Headers: platform.Headers{},
+		DialTimeout: dialTime, MaxIdle: maxIdle, Dialled: g.count.dials.Inc,
+	})
+	g.handler = host.New(host.Options{
+		View: g.view, Table: g.table, Client: g.client, Headers: platform.Headers{}, Events: observe,
+		MaxProofAge: s.KeyRemoval.Std() - proofMargin,
+		NewBudget:   g.newBudget,
+		Admit:       g.admit,
+	})
+	return g, nil
+}
+
+// steady reads the clock that also counts while the machine is suspended.
+func steady() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The kernel has had this clock since version 2.6.39.
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
+
+func (g *Gateway) newBudget() *budget.Budget {
+	r := g.settings.Repeats
+	return &budget.Budget{Ratio: r.Ratio * 0.8, Fixed: r.Fixed / 10, Window: r.Window.Std()}
+}
+
+func (g *Gateway) admit(time.Time, host.Demand, time.Duration) bool {
+	return true
+}
+
+// Run serves until ctx ends, then drains. A second signal is not needed: the
+// drain is bounded.
+func (g *Gateway) Run(ctx context.Context) error {
+	debug.SetGCPercent(collectorPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.MemoryMegabytes<<20)))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	servers, listeners, err := g.open()
+	if err != nil {
+		return err
+	}
+	g.log.Event(events.RouterStarted, "dataCentre", g.settings.DataCentre, "caller", g.settings.Listen.Caller, "store", g.settings.Store.Address)
+	var group errgroup.Group
+	group.Go(func() error { return ended(g.view.Run(work)) })
+	group.Go(func() error { return ended(g.loop(work)) })
+	group.Go(func() error { return ended(g.reload(work)) })
+	for i, s := range servers {
+		group.Go(func() error { return serve(s, listeners[i]) })
+	}
+	<-ctx.Done()
+	g.drain(servers)
+	stop()
+	return group.Wait()
+}
+
+// ended returns nil for the end of a context.
+func ended(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// open listens on all addresses. The callers' server is the first one.
+func (g *Gateway) open() ([]*http.Server, []net.Listener, error) {
+	readiness, metrics := http.NewServeMux(), http.NewServeMux()
+	readiness.HandleFunc("/", g.serveReady)
+	metrics.Handle("/metrics", g.count.handler())
+	var servers []*http.Server
+	var listeners []net.Listener
+	for _, s := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{g.settings.Listen.Caller, g.handler},
+		{g.settings.Listen.Readiness, readiness},
+		{g.settings.Listen.Metrics, metrics},
+	} {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			g.log.Event(events.ListenerFailed, "address", s.address, "error", err)
+			return nil, nil, errors.Join(fmt.Errorf("listen on %s: %w", s.address, err), closeAll(listeners))
+		}
+		listeners = append(listeners, l)
+		servers = append(servers, &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+			ErrorLog: nil,
+		})
+	}
+	return servers, listeners, nil
+}
+
+func closeAll(listeners []net.Listener) error {
+	var all error
+	for _, l := range listeners {
+		all = errors.Join(all, l.Close())
+	}
+	return all
+}
+
+// serveReady answers the balancer.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := g.ready()
+	if g.wasReady.Swap(ready) != ready {
+		if ready {
+			g.log.Event(events.RouterReady)
+		} else {
+			g.log.Event(events.RouterNotReady, "error", reason)
+		}
+	}
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ready reports whether the router can serve all requests.
+func (g *Gateway) ready() (bool, string) {
+	if g.draining.Load() {
+		return false, "the router is stopping"
+	}
+	c := g.view.Configuration()
+	if c == nil {
+		return false, "no configuration was read yet"
+	}
+	age, ok := g.view.Age()
+	if limit := time.Duration(readyProof * float64(g.settings.KeyRemoval)); c.Keyed && (!ok || age > limit) {
+		return false, "the proof of the configuration is too old"
+	}
+	return true, ""
+}
+
+// loop drops what has expired until ctx ends.
+func (g *Gateway) loop(ctx context.Context) error {
+	t := time.NewTicker(housekeeping)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case now := <-t.C:
+			g.table.Expire(now)
+			g.client.Expire(now, func(s galenalatch.ServerID) bool { return g.table.Usable(now, s) })
+		}
+	}
+}
+
+// reload reads the settings file again on SIGHUP. Settings of a running
+// process stay as they are, since all of them describe the instance; the log
+// tells whether the file is valid for the next start.
+func (g *Gateway) reload(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-hup:
+			_, err := gateway.Load(g.path)
+			g.log.Event(events.SettingsReloaded, "error", err)
+		}
+	}
+}
+
+// drain ends the process without cutting off a request.
+func (g *Gateway) drain(servers []*http.Server) {
+	limit := g.settings.Drain.Limit.Std() - drainMargin
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	g.draining.Store(true)
+	g.handler.Drain()
+	g.log.Event(events.DrainStarted, "limit", limit)
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(drainNotice, limit/2)):
+	}
+	cut := 0
+	if err := servers[0].Shutdown(ctx); err != nil {
+		cut = 1
+		// The limit has passed: what is left is cut off.
+		_ = servers[0].Close()
+	}
+	for _, s := range servers[1:] {
+		_ = s.Close()
+	}
+	g.log.Event(events.DrainEnded, "requests", cut)
+	g.log.Event(events.RouterStopped)
+}
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -55,6 +55,20 @@
 	PeerLost         Number = 7002
 	PeerRejected     Number = 7003
 	PeerQueueFull    Number = 7005
+	RequestPlaced    Number = 8001
+	AttemptEnded     Number = 8002
+	GatewayRefused   Number = 8003
+	GatewayAnswered  Number = 8004
+	ConfigurationIn  Number = 8101
+	DataCentreOut    Number = 8102
+	DataCentreIn     Number = 8103
+	ServerEntry      Number = 8104
+	ServerEntryGone  Number = 8105
+	EntryInvalid     Number = 8106
+	StoreLost        Number = 8107
+	StoreRegained    Number = 8108
+	MembersChanged   Number = 8109
+	SettingsReloaded Number = 8201
 )
 
 // event is what an operator is told about a number.
@@ -182,4 +196,31 @@
 	PeerQueueFull: {log.WarnLevel, "peer queue full",
 		"Control messages to a router were dropped, since it reads too slowly. Logged at most once a minute per router.",
 		"Check that instance for lack of CPU time."},
+	RequestPlaced: {log.InfoLevel, "request placed",
+		"A backend server was chosen for a request of a route. The inputs: version and proof age of the configuration, predicted time to the first token, tokens that the server is expected to keep.", none},
+	AttemptEnded: {log.InfoLevel, "attempt failed",
+		"A backend server did not answer a request with success. `error` says what was seen; the request may go on at another server.",
+		"When one server stands out, look at it."},
+	GatewayRefused: {log.InfoLevel, "request not run",
+		"A request was refused and has not run. `error` begins with the kind: `queueFull` for lack of capacity, `catalogueStale` without proof of a new configuration, `serverUnreached` without a server that could be reached.",
+		"See the walks in `OPERATIONS.md`."},
+	GatewayAnswered: {log.InfoLevel, "request answered",
+		"The final answer of a request that was sent to a backend server. A status of 502, 504 or 0 (connection closed) says that the outcome is unknown.", none},
+	ConfigurationIn: {log.InfoLevel, "configuration in force",
+		"A newer configuration replaced the one before.", none},
+	DataCentreOut: {log.InfoLevel, "data centre out", "Operators took a data centre out of service. Its backend servers get no new requests.", none},
+	DataCentreIn:  {log.InfoLevel, "data centre in", "Operators returned a data centre. Its backend servers count as cold.", none},
+	ServerEntry:   {log.InfoLevel, "backend server listed", "A backend server published or changed its entry.", none},
+	ServerEntryGone: {log.InfoLevel, "backend server gone",
+		"The entry of a backend server was removed, cannot be used, or was missing in a listing.", none},
+	EntryInvalid: {log.WarnLevel, "entry cannot be used", "A row in a table of operators or backend servers cannot be decoded. It names no server; the other rows hold.",
+		"Find out who wrote the row."},
+	StoreLost: {log.WarnLevel, "store lost",
+		"A call of the store for a feed failed. The router goes on with what it knows; requests with keys are refused when the proof of the configuration is too old.",
+		"Look at the store when many routers log this at the same time, otherwise at the instance's network."},
+	StoreRegained: {log.InfoLevel, "store regained", "The feed follows the store again; `after` is the length of the gap.", none},
+	MembersChanged: {log.InfoLevel, "routers changed",
+		"The list of routers in the store has changed.", none},
+	SettingsReloaded: {log.InfoLevel, "settings reloaded", "SIGHUP: the settings file was read again. An `error` means that the old settings stay in force.",
+		"Correct the file when there is an error."},
 }
