Let gateways know each other and refuse what comes too late

The feed of an empty table listed it again and again.

Change: the list of routers is in the store; two routers by rendezvous hash may send to a cold server. Routers tell each other what is under way at servers and what workspaces asked and got. A stream whose first token is predicted too late is refused at once, earlier for workspaces above their max-min share. A feed follows an empty table.

--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -21,6 +21,7 @@
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/view"
 )
 
@@ -39,6 +40,8 @@
 	// Admit decides whether a request that is predicted to get its first
 	// token after wait is taken on.
 	Admit func(now time.Time, r Demand, wait time.Duration) bool
+	// Ledger counts what workspaces ask and get.
+	Ledger *share.Ledger
 }
 
 // Demand is what a request asks of the fleet.
@@ -49,7 +52,9 @@
 	Route     *galenalatch.HostRoute
 	// Tokens is the size of the request: tokens of the prompt, and twice
 	// those of the answer.
-	Tokens int
+	Tokens float64
+	// TokenRate is the throughput of all engines in tokens a second.
+	TokenRate float64
 	// Waited is the time since the request arrived.
 	Waited time.Duration
 }
@@ -160,9 +165,17 @@
 			t.limit = min(t.limit, d)
 		}
 	}
+	if t.route.Kind == galenalatch.StreamWork {
+		t.h.Ledger.Add(t.arrival, t.decision.Workspace, share.Use{Asked: t.tokens()})
+	}
 	return t.readBody()
 }
 
+// tokens is the size of the request: tokens read, and twice those generated.
+func (t *task) tokens() float64 {
+	return float64(t.call.PromptTokens + 2*t.call.MaxOutputTokens)
+}
+
 func (t *task) readBody() error {
 	if t.r.Body == nil || t.r.Body == http.NoBody {
 		return nil
--- a/internal/caller/host/task.go
+++ b/internal/caller/host/task.go
@@ -13,6 +13,7 @@
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/share"
 )
 
 // retrySoon is when a refused caller comes back.
@@ -101,12 +102,15 @@
 	t.decision.Server, t.decision.Wait, t.decision.Cached, t.decision.Cold = p.Server, p.Wait, p.Cached, p.Cold
 	demand := Demand{
 		Request: t.call.ID, Workspace: t.decision.Workspace, Service: t.decision.Service, Route: t.route,
-		Tokens: t.call.PromptTokens + 2*t.call.MaxOutputTokens, Waited: t.decision.Waited,
+		Tokens: t.tokens(), TokenRate: t.configuration.Limits.TokenRate, Waited: t.decision.Waited,
 	}
 	if len(t.tried) == 0 && !t.h.Admit(now, demand, p.Wait) {
 		t.h.Table.Done(now, p, placement.Cancelled)
 		return nil, galenalatch.KindQueueFull.Errorf("the first token is predicted after %s", p.Wait.Round(time.Millisecond))
 	}
+	if t.route.Kind == galenalatch.StreamWork && len(t.tried) == 0 {
+		t.h.Ledger.Add(now, t.decision.Workspace, share.Use{Begun: t.tokens()})
+	}
 	t.decision.Attempt = t.reached + 1
 	t.h.Events.Placed(t.call.ID, t.decision)
 	return p, nil
--- /dev/null
+++ b/internal/decide/admission/policy.go
@@ -0,0 +1,47 @@
+// Package admission decides which requests are taken on when engines fall
+// behind.
+//
+// Engines admit in order of arrival, so what waits there cannot be ordered
+// any more. A request that cannot get its first token in time is refused at
+// once instead, and workspaces that had more than their share give way first.
+package admission
+
+import "time"
+
+// Policy holds the limits on the predicted time to the first token, as
+// fractions of the aim.
+type Policy struct {
+	// Within is the limit for workspaces below their share, Beyond for those
+	// above it.
+	Within float64
+	Beyond float64
+}
+
+// Default is the policy of a gateway.
+func Default() Policy {
+	return Policy{Within: 0.95, Beyond: 0.4}
+}
+
+// Demand is a request that asks for admission.
+type Demand struct {
+	// Aim is the time to the first token that the caller was promised.
+	Aim time.Duration
+	// Waited is the time since the request arrived, Wait the predicted time
+	// to the first token from now.
+	Waited time.Duration
+	Wait   time.Duration
+	// Fraction is what the workspace got as a fraction of its share.
+	Fraction float64
+}
+
+// Admit reports whether the request is taken on.
+func (p Policy) Admit(d Demand) bool {
+	if d.Aim <= 0 {
+		return true
+	}
+	limit := p.Within
+	if d.Fraction >= 1 {
+		limit = p.Beyond
+	}
+	return d.Waited+d.Wait <= time.Duration(limit*float64(d.Aim))
+}
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -20,9 +20,11 @@
 	failureCost = 2 * time.Second
 	// plainCost is the time that a plain request occupies a slot.
 	plainCost = 15 * time.Millisecond
-	// coldOwnerShare of a cold server's bound goes to its one owner; routers
-	// that disagree about the owner for a while stay under the bound.
-	coldOwnerShare = 0.3
+	// coldOwners routers may send to a cold server, each up to
+	// coldOwnerShare of its bound. Routers that disagree about the list for
+	// a while stay under the bound.
+	coldOwners     = 2
+	coldOwnerShare = 0.2
 	// maxRemoteAge is the age after which another router's load is ignored.
 	maxRemoteAge = time.Second
 )
@@ -60,7 +62,7 @@
 // remoteLoad is what another router has under way.
 type remoteLoad struct {
 	at    time.Time
-	loads map[galenalatch.ServerID]Load
+	loads map[uint32]Load
 }
 
 // Load is what one router has under way at a server.
@@ -125,7 +127,7 @@
 // the fleet.
 func (t *Table) price(now time.Time, s *server, a Ask, keys []uint64, engine, home bool) (*Place, time.Duration) {
 	p := &Place{Server: s.ID, Address: s.Address, DataCentre: s.DataCentre, server: s, keys: keys, parts: a.Prompt}
-	remote := t.elsewhere(now, s.ID)
+	remote := t.elsewhere(now, s.key())
 	var score time.Duration
 	if engine {
 		total := a.PromptTokens
@@ -163,11 +165,11 @@
 }
 
 // elsewhere returns what the other routers have under way at a server.
-func (t *Table) elsewhere(now time.Time, id galenalatch.ServerID) Load {
+func (t *Table) elsewhere(now time.Time, key uint32) Load {
 	var sum Load
 	for _, r := range t.remote {
 		if age := now.Sub(r.at); age < maxRemoteAge {
-			l := r.loads[id]
+			l := r.loads[key]
 			sum.Running += l.Running
 			sum.Reading += max(l.Reading-age, 0)
 		}
@@ -176,7 +178,7 @@
 }
 
 // coldPermit reports whether this router may send one more request to a cold
-// server in this second. One router owns each cold server, by the list of
+// server in this second. Few routers own each cold server, by the list of
 // routers in the store, so that the sum stays bounded without messages.
 func (t *Table) coldPermit(now time.Time, s *server) bool {
 	if !t.owns(s) {
@@ -187,11 +189,13 @@
 }
 
 func (t *Table) owns(s *server) bool {
-	owner, best := galenalatch.RouterID(""), uint64(0)
+	own, above, listed := hash(seedOf(t.Self), s), 0, false
 	for _, m := range t.members {
-		if h := hash(seedOf(m), s); owner == "" || h > best {
-			owner, best = m, h
+		if m == t.Self {
+			listed = true
+		} else if hash(seedOf(m), s) > own {
+			above++
 		}
 	}
-	return owner == t.Self
+	return listed && above < coldOwners
 }
--- a/internal/decide/placement/progress.go
+++ b/internal/decide/placement/progress.go
@@ -99,21 +99,22 @@
 	}
 }
 
-// Own returns what this router has under way, without idle servers.
-func (t *Table) Own(now time.Time) map[galenalatch.ServerID]Load {
+// Own returns what this router has under way, by short names of servers and
+// without idle ones.
+func (t *Table) Own(now time.Time) map[uint32]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	loads := make(map[galenalatch.ServerID]Load)
-	for id, s := range t.servers {
+	loads := make(map[uint32]Load)
+	for _, s := range t.servers {
 		if s.running > 0 {
-			loads[id] = Load{Running: s.running, Reading: s.backlog(now)}
+			loads[s.key()] = Load{Running: s.running, Reading: s.backlog(now)}
 		}
 	}
 	return loads
 }
 
 // SetRemote records what another router has under way.
-func (t *Table) SetRemote(now time.Time, r galenalatch.RouterID, loads map[galenalatch.ServerID]Load) {
+func (t *Table) SetRemote(now time.Time, r galenalatch.RouterID, loads map[uint32]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remote[r] = remoteLoad{at: now, loads: loads}
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -53,6 +53,11 @@
 	return &server{Registration: r, seed: xxhash.Sum64String(string(r.ID)), reading: make(map[*Place]struct{}), kept: kept}
 }
 
+// key is the short name of the server in messages between routers.
+func (s *server) key() uint32 {
+	return uint32(s.seed)
+}
+
 // chill makes the server cold for at least d from now.
 func (s *server) chill(now time.Time, d time.Duration) {
 	if until := now.Add(d); d > 0 && until.After(s.coldUntil) {
--- /dev/null
+++ b/internal/decide/share/ledger.go
@@ -0,0 +1,181 @@
+// Package share divides the fleet's throughput between workspaces: each gets
+// what it asks up to the same level, the max-min share.
+//
+// Routers count what workspaces ask of them and what they begin, and tell
+// each other the sums of a short window. No router decides for another.
+package share
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+const (
+	// slots is the number of parts of the window.
+	slots = 16
+	// maxRemoteAge is the age after which another router's sums are ignored.
+	maxRemoteAge = 2 * time.Second
+	// levelTime is how long a computed level is used.
+	levelTime = 50 * time.Millisecond
+)
+
+// Use is what a workspace asked and what was begun for it, in tokens.
+type Use struct {
+	Asked float64
+	Begun float64
+}
+
+// account counts the uses of one workspace on this router.
+type account struct {
+	use [slots]Use
+	at  int64
+}
+
+// Ledger counts the uses of workspaces. It is safe for concurrent use.
+type Ledger struct {
+	window time.Duration
+
+	mu       sync.Mutex
+	accounts map[uint32]*account
+	remote   map[galenalatch.RouterID]remoteUse
+	level    float64
+	levelAt  time.Time
+	levelFor float64
+}
+
+type remoteUse struct {
+	at   time.Time
+	uses map[uint32]Use
+}
+
+// New returns a ledger with a window.
+func New(window time.Duration) *Ledger {
+	return &Ledger{window: window, accounts: make(map[uint32]*account), remote: make(map[galenalatch.RouterID]remoteUse)}
+}
+
+// Key returns the short name of a workspace.
+func Key(w galenalatch.WorkspaceName) uint32 {
+	return uint32(xxhash.Sum64String(string(w)))
+}
+
+// Add counts tokens that a workspace asked for or that were begun for it.
+func (l *Ledger) Add(now time.Time, w galenalatch.WorkspaceName, u Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[Key(w)]
+	if !ok {
+		a = &account{}
+		l.accounts[Key(w)] = a
+	}
+	l.advance(a, now)
+	a.use[a.at%slots].Asked += u.Asked
+	a.use[a.at%slots].Begun += u.Begun
+}
+
+// advance drops what has left the window.
+func (l *Ledger) advance(a *account, now time.Time) {
+	slot := now.UnixNano() / int64(l.window/slots)
+	if slot-a.at >= slots || slot < a.at {
+		a.use, a.at = [slots]Use{}, slot
+		return
+	}
+	for a.at < slot {
+		a.at++
+		a.use[a.at%slots] = Use{}
+	}
+}
+
+func (a *account) sum() Use {
+	var s Use
+	for _, u := range a.use {
+		s.Asked += u.Asked
+		s.Begun += u.Begun
+	}
+	return s
+}
+
+// Own returns the uses on this router within the window.
+func (l *Ledger) Own(now time.Time) map[uint32]Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own(now)
+}
+
+func (l *Ledger) own(now time.Time) map[uint32]Use {
+	uses := make(map[uint32]Use, len(l.accounts))
+	for k, a := range l.accounts {
+		l.advance(a, now)
+		if u := a.sum(); u.Asked > 0 || u.Begun > 0 {
+			uses[k] = u
+		} else {
+			delete(l.accounts, k)
+		}
+	}
+	return uses
+}
+
+// SetRemote records the uses on another router.
+func (l *Ledger) SetRemote(now time.Time, r galenalatch.RouterID, uses map[uint32]Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.remote[r] = remoteUse{at: now, uses: uses}
+}
+
+// fleet returns the uses on all routers.
+func (l *Ledger) fleet(now time.Time) map[uint32]Use {
+	uses := l.own(now)
+	for id, r := range l.remote {
+		if now.Sub(r.at) > maxRemoteAge {
+			delete(l.remote, id)
+			continue
+		}
+		for k, u := range r.uses {
+			sum := uses[k]
+			sum.Asked += u.Asked
+			sum.Begun += u.Begun
+			uses[k] = sum
+		}
+	}
+	return uses
+}
+
+// Fraction returns what was begun for a workspace within the window as a
+// fraction of its max-min share of rate, in tokens a second. Workspaces below
+// 1 have room in their share.
+func (l *Ledger) Fraction(now time.Time, w galenalatch.WorkspaceName, rate float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	uses := l.fleet(now)
+	if l.levelFor != rate || now.Sub(l.levelAt) > levelTime {
+		l.level, l.levelAt, l.levelFor = Level(uses, rate*l.window.Seconds()), now, rate
+	}
+	if l.level <= 0 {
+		return 0
+	}
+	return uses[Key(w)].Begun / l.level
+}
+
+// Level returns the amount up to which every workspace gets what it asks
+// when capacity is shared max-min fairly. It is the capacity itself when all
+// requests fit.
+func Level(uses map[uint32]Use, capacity float64) float64 {
+	asked := make([]float64, 0, len(uses))
+	for _, u := range uses {
+		asked = append(asked, u.Asked)
+	}
+	slices.Sort(asked)
+	left := capacity
+	for i, a := range asked {
+		even := left / float64(len(asked)-i)
+		if a > even {
+			return even
+		}
+		left -= a
+	}
+	return capacity
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -18,15 +18,10 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/proof"
+	"github.com/galenalatch/galenalatch/internal/fleet/feed"
 )
 
 const (
-	// answerTime is how long a call may take beyond the time that the store
-	// was asked to wait.
-	answerTime = 900 * time.Millisecond
-	// firstPause and longestPause bound the pause between failed calls.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 800 * time.Millisecond
 	// returnTime is how long after the store's return the entries of live
 	// servers may still be missing.
 	returnTime = 2200 * time.Millisecond
@@ -50,9 +45,7 @@
 
 // Events are told what changes the view. They must not block.
 type Events interface {
-	// Lost and Regained report the feed of a table.
-	Lost(feed string, err error)
-	Regained(feed string, after time.Duration)
+	feed.Events
 	Applied(c *galenalatch.Configuration, position galenalatch.Position)
 	OutOfService(d galenalatch.DataCentre, out bool, position galenalatch.Position)
 	Server(r galenalatch.Registration, position galenalatch.Position)
@@ -94,10 +87,10 @@
 // Run follows the store until ctx ends.
 func (v *View) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	operators := &feed{view: v, name: "operators", wait: v.OperatorWait, read: v.readOperators}
-	servers := &feed{view: v, name: "servers", wait: v.ServerWait, read: v.readServers, failed: v.serversFailed}
-	g.Go(func() error { return operators.run(ctx) })
-	g.Go(func() error { return servers.run(ctx) })
+	operators := &feed.Feed{Name: "operators", Wait: v.OperatorWait, Read: v.readOperators, Events: v.Events}
+	servers := &feed.Feed{Name: "servers", Wait: v.ServerWait, Read: v.readServers, Failed: v.serversFailed, Events: v.Events}
+	g.Go(func() error { return operators.Run(ctx) })
+	g.Go(func() error { return servers.Run(ctx) })
 	return g.Wait()
 }
 
@@ -105,7 +98,7 @@
 	sent := v.Clock()
 	u, err := v.Store.Operators(ctx, after, wait)
 	received := v.Clock()
-	if err := older(u.Position, seen, err); err != nil {
+	if err := feed.Older(u.Position, seen, err); err != nil {
 		return u.Position, err
 	}
 	for _, e := range u.Invalid {
@@ -177,7 +170,7 @@
 
 func (v *View) readServers(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
 	u, err := v.Store.Servers(ctx, after, wait)
-	if err := older(u.Position, seen, err); err != nil {
+	if err := feed.Older(u.Position, seen, err); err != nil {
 		return u.Position, err
 	}
 	for _, e := range u.Invalid {
@@ -186,7 +179,7 @@
 	now := time.Now()
 	v.mu.Lock()
 	at := now
-	if now.Sub(v.trouble) < returnTime+answerTime {
+	if now.Sub(v.trouble) < returnTime+feed.AnswerTime {
 		// Entries lapse while the store is away and come back soon after.
 		at = now.Add(removalDelay)
 	}
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -175,7 +175,7 @@
 	of[galenalatch.Changes], of[galenalatch.Report], of[galenalatch.Enqueue], of[galenalatch.Withdraw],
 	of[galenalatch.Progress], of[galenalatch.Finish], of[galenalatch.Grant], of[galenalatch.Refuse],
 	of[galenalatch.LeaseAsk], of[galenalatch.LeaseState], of[galenalatch.Summary], of[galenalatch.Lend],
-	of[galenalatch.GiveBack], of[galenalatch.Handover],
+	of[galenalatch.GiveBack], of[galenalatch.Handover], of[galenalatch.RouterUse],
 )
 
 func list(entries ...func() (string, decoder)) map[string]decoder {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -24,9 +24,13 @@
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
 	"github.com/galenalatch/galenalatch/internal/caller/host"
 	"github.com/galenalatch/galenalatch/internal/config/gateway"
+	"github.com/galenalatch/galenalatch/internal/decide/admission"
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/members"
 	"github.com/galenalatch/galenalatch/internal/fleet/view"
+	"github.com/galenalatch/galenalatch/internal/peer/use"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 	"github.com/galenalatch/galenalatch/internal/telemetry/sink"
 	"github.com/galenalatch/galenalatch/platform"
@@ -63,6 +67,12 @@
 	drainNotice = 3 * time.Second
 	// drainMargin is left at the end of the drain for the last log lines.
 	drainMargin = 300 * time.Millisecond
+	// budgetMargin is the part of the budget of repeats that is used, and
+	// budgetSpare the number of routers that may not be in the list yet.
+	budgetMargin = 0.8
+	budgetSpare  = 4
+	// shareWindow is the time over which workspaces share capacity.
+	shareWindow = 4 * time.Second
 	// headerTime bounds the time for the head of a request, and idleTime the
 	// pause between requests on a connection, unless operators limit them.
 	headerTime = 10 * time.Second
@@ -80,6 +90,13 @@
 	view     *view.View
 	client   *exchange.Client
 	handler  *host.Handler
+	ledger   *share.Ledger
+	policy   admission.Policy
+	members  *members.List
+	peers    *use.Exchange
+	routers  atomic.Int64
+	// looked is when silent routers were looked for.
+	looked   time.Time
 	draining atomic.Bool
 	wasReady atomic.Bool
 }
@@ -94,14 +111,16 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{settings: s, path: path, log: log.With("router", s.ID), lines: out}
+	g := &Gateway{
+		settings: s, path: path, log: log.With("router", s.ID), lines: out,
+		ledger: share.New(shareWindow), policy: admission.Default(),
+	}
 	g.count = newCounters(out.Dropped)
 	observe := observer{log: g.log, count: g.count}
 	g.table = placement.New(placement.Options{
 		Self: s.ID, Local: s.DataCentre, ReadRate: s.Engine.ReadRate, FirstToken: s.Engine.FirstToken.Std(),
 		ColdOver: s.Cold.Over, ColdSlack: s.Cold.Slack,
 	})
-	g.table.SetMembers([]galenalatch.RouterID{s.ID})
 	store := platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext)
 	g.view = view.New(view.Options{
 		Store: store, Table: g.table, Clock: steady, Events: observe,
@@ -116,7 +135,9 @@
 		MaxProofAge: s.KeyRemoval.Std() - proofMargin,
 		NewBudget:   g.newBudget,
 		Admit:       g.admit,
+		Ledger:      g.ledger,
 	})
+	g.join(store, observe)
 	return g, nil
 }
 
@@ -132,11 +153,20 @@
 
 func (g *Gateway) newBudget() *budget.Budget {
 	r := g.settings.Repeats
-	return &budget.Budget{Ratio: r.Ratio * 0.8, Fixed: r.Fixed / 10, Window: r.Window.Std()}
+	// The list of routers may be behind: the share is that of a larger fleet.
+	fleet := float64(max(g.routers.Load(), 1) + budgetSpare)
+	return &budget.Budget{Ratio: budgetMargin * r.Ratio, Fixed: budgetMargin * r.Fixed / fleet, Window: r.Window.Std()}
 }
 
-func (g *Gateway) admit(time.Time, host.Demand, time.Duration) bool {
-	return true
+// admit asks the policy, with what the workspace had of its share.
+func (g *Gateway) admit(now time.Time, d host.Demand, wait time.Duration) bool {
+	if d.Route.Kind != galenalatch.StreamWork {
+		return true
+	}
+	return g.policy.Admit(admission.Demand{
+		Aim: d.Route.Aim, Waited: d.Waited, Wait: wait,
+		Fraction: g.ledger.Fraction(now, d.Workspace, d.TokenRate),
+	})
 }
 
 // Run serves until ctx ends, then drains. A second signal is not needed: the
@@ -155,6 +185,8 @@
 	group.Go(func() error { return ended(g.view.Run(work)) })
 	group.Go(func() error { return ended(g.loop(work)) })
 	group.Go(func() error { return ended(g.reload(work)) })
+	group.Go(func() error { return ended(g.members.Run(work)) })
+	group.Go(func() error { return ended(g.peers.Run(work)) })
 	for i, s := range servers {
 		group.Go(func() error { return serve(s, listeners[i]) })
 	}
@@ -192,6 +224,7 @@
 	}{
 		{g.settings.Listen.Caller, g.handler},
 		{g.settings.Listen.Readiness, readiness},
+		{g.settings.Listen.Peer, g.peers},
 		{g.settings.Listen.Metrics, metrics},
 	} {
 		l, err := net.Listen("tcp", s.address)
@@ -258,6 +291,7 @@
 		case now := <-t.C:
 			g.table.Expire(now)
 			g.client.Expire(now, func(s galenalatch.ServerID) bool { return g.table.Usable(now, s) })
+			g.removeSilent(ctx, now)
 		}
 	}
 }
@@ -288,6 +322,9 @@
 	g.draining.Store(true)
 	g.handler.Drain()
 	g.log.Event(events.DrainStarted, "limit", limit)
+	if err := g.members.Leave(ctx); err != nil {
+		g.log.Event(events.MembersChanged, "left", g.settings.ID, "error", err)
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(min(drainNotice, limit/2)):
--- a/message.go
+++ b/message.go
@@ -262,6 +262,35 @@
 	Completed int    `cbor:"completed"`
 }
 
+// ServerUse is what a router has under way at a backend server. It is encoded
+// as an array, since it is sent several times a second.
+type ServerUse struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id.
+	Server  uint32
+	Running uint16
+	// ReadingMillis is how long the requests without a first token occupy
+	// the reader of the server.
+	ReadingMillis uint16
+}
+
+// WorkspaceUse is what a workspace has asked of a router and got from it.
+type WorkspaceUse struct {
+	_ struct{} `cbor:",toarray"`
+	// Workspace is a hash of the workspace's name.
+	Workspace uint32
+	// Asked and Begun are thousands of tokens in the window of fair shares.
+	Asked uint32
+	Begun uint32
+}
+
+// RouterUse is what a router has under way. Each message replaces the one
+// before.
+type RouterUse struct {
+	Servers    []ServerUse    `cbor:"s"`
+	Workspaces []WorkspaceUse `cbor:"w"`
+}
+
 // Outgoing is a message with its destination.
 type Outgoing struct {
 	To      RouterID
@@ -321,3 +350,6 @@
 
 // MessageType implements Message.
 func (Handover) MessageType() string { return "handover" }
+
+// MessageType implements Message.
+func (RouterUse) MessageType() string { return "routerUse" }
--- a/registration.go
+++ b/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 )
 
@@ -81,10 +82,14 @@
 // ErrWriteConflict is returned when the condition of a write does not hold.
 var ErrWriteConflict = errors.New("the row has another version")
 
+// Everything asks for all rows of a table instead of the changes after a
+// version.
+const Everything uint64 = math.MaxUint64
+
 // Store is the platform's store: what operators and backend servers publish,
-// and the system's own tables. Reads with after 0 return everything;
-// others return as soon as there is a change after this version, and without
-// one after wait.
+// and the system's own tables. Reads after Everything return at once; others
+// return as soon as there is a change after this version, and without one
+// after wait.
 type Store interface {
 	Operators(ctx context.Context, after uint64, wait time.Duration) (OperatorUpdate, error)
 	Servers(ctx context.Context, after uint64, wait time.Duration) (ServerUpdate, error)
