Relay the store's answers within data centres

Change: in fleets of more than 16 routers two routers of each data centre follow the feeds and pass the answers on, also those without changes, which prove that nothing has changed. Calls of a feed are at least 150 ms apart.

--- a/internal/decide/proof/tracker.go
+++ b/internal/decide/proof/tracker.go
@@ -32,6 +32,15 @@
 	t.proven = max(t.proven, min(stamp+t.lowest, received))
 }
 
+// Relayed records a stamp of the store that another router has passed on. It
+// proves nothing before the first own call.
+func (t *Tracker) Relayed(received, stamp time.Duration) {
+	if t.known {
+		t.newest = max(t.newest, stamp)
+		t.proven = max(t.proven, min(stamp+t.lowest, received))
+	}
+}
+
 // clockStep is the difference between stamps of calls that overtake each
 // other below which the store's clock has not started again.
 const clockStep = time.Second
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -37,6 +37,9 @@
 	// Failed is told of each failed call, if set.
 	Failed func(now time.Time)
 	Events Events
+	// Gap is the shortest time between two calls. Changes that come together
+	// share a call.
+	Gap time.Duration
 
 	after uint64
 	seen  uint64
@@ -48,9 +51,11 @@
 func (f *Feed) Run(ctx context.Context) error {
 	f.after = galenalatch.Everything
 	for ctx.Err() == nil {
+		begun := time.Now()
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.retry(ctx, err)
 		}
+		f.sleep(ctx, f.Gap-time.Since(begun))
 	}
 	return context.Cause(ctx)
 }
@@ -95,8 +100,15 @@
 		f.Events.Lost(f.Name, err)
 	}
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
+	f.sleep(ctx, f.pause/2+rand.N(f.pause/2))
+}
+
+func (f *Feed) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.pause/2 + rand.N(f.pause/2)):
+	case <-time.After(d):
 	}
 }
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -33,6 +33,9 @@
 	// wait is how long the store holds a call without a change. Nothing
 	// depends on the age of the list.
 	wait = 15 * time.Second
+	// callGap is the shortest time between two calls, since routers often
+	// start together.
+	callGap = time.Second
 )
 
 // Member is a router in the list.
@@ -69,7 +72,7 @@
 
 // Run follows the list and keeps the own row in it until ctx ends.
 func (l *List) Run(ctx context.Context) error {
-	f := &feed.Feed{Name: table, Wait: wait, Read: l.read, Events: l.Events}
+	f := &feed.Feed{Name: table, Wait: wait, Read: l.read, Events: l.Events, Gap: callGap}
 	return f.Run(ctx)
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// callGap is the shortest time between two calls of a feed.
+	callGap = 150 * time.Millisecond
 	// returnTime is how long after the store's return the entries of live
 	// servers may still be missing.
 	returnTime = 2200 * time.Millisecond
@@ -87,8 +89,8 @@
 // Run follows the store until ctx ends.
 func (v *View) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	operators := &feed.Feed{Name: "operators", Wait: v.OperatorWait, Read: v.readOperators, Events: v.Events}
-	servers := &feed.Feed{Name: "servers", Wait: v.ServerWait, Read: v.readServers, Failed: v.serversFailed, Events: v.Events}
+	operators := &feed.Feed{Name: "operators", Wait: v.OperatorWait, Read: v.readOperators, Events: v.Events, Gap: callGap}
+	servers := &feed.Feed{Name: "servers", Wait: v.ServerWait, Read: v.readServers, Failed: v.serversFailed, Events: v.Events, Gap: callGap}
 	g.Go(func() error { return operators.Run(ctx) })
 	g.Go(func() error { return servers.Run(ctx) })
 	return g.Wait()
@@ -113,7 +115,11 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.tracker.Observe(sent, received, u.Clock)
+	if u.Relayed {
+		v.tracker.Relayed(received, u.Clock)
+	} else {
+		v.tracker.Observe(sent, received, u.Clock)
+	}
 	return u.Position, nil
 }
 
--- a/internal/peer/use/exchange.go
+++ b/internal/peer/use/exchange.go
@@ -39,6 +39,8 @@
 	DataCentre galenalatch.DataCentre
 	Table      *placement.Table
 	Ledger     *share.Ledger
+	// Answered takes the answers of the store that other routers pass on.
+	Answered func(galenalatch.StoreAnswer)
 	// Connected and Lost are told of connections with other routers.
 	Connected func(r galenalatch.RouterID)
 	Lost      func(r galenalatch.RouterID, err error)
@@ -50,6 +52,8 @@
 	mu    sync.Mutex
 	mesh  *link.Mesh
 	peers []galenalatch.RouterID
+	// near are the peers of the own data centre.
+	near  []galenalatch.RouterID
 	heard map[galenalatch.RouterID]time.Time
 	ready chan struct{}
 
@@ -83,7 +87,7 @@
 		close(e.ready)
 	}
 	e.mesh.SetPeers(list)
-	e.peers = e.peers[:0:0]
+	e.peers, e.near = nil, nil
 	now := time.Now()
 	heard := make(map[galenalatch.RouterID]time.Time, len(list))
 	for _, i := range list {
@@ -92,6 +96,9 @@
 			continue
 		}
 		e.peers = append(e.peers, id)
+		if i.DataCentre == e.DataCentre {
+			e.near = append(e.near, id)
+		}
 		heard[id] = now
 		if at, ok := e.heard[id]; ok {
 			heard[id] = at
@@ -180,6 +187,16 @@
 	}
 }
 
+// Pass passes an answer of the store on to the routers of the data centre.
+func (e *Exchange) Pass(a galenalatch.StoreAnswer) {
+	e.mu.Lock()
+	near, mesh := e.near, e.mesh
+	e.mu.Unlock()
+	for _, p := range near {
+		mesh.Send(p, a)
+	}
+}
+
 func clamp(n int) uint16 {
 	return uint16(min(max(n, 0), math.MaxUint16))
 }
@@ -194,11 +211,15 @@
 
 // receive takes the message of another router.
 func (e *Exchange) receive(from galenalatch.RouterID, m galenalatch.Message) {
+	e.hear(from)
+	if a, ok := m.(galenalatch.StoreAnswer); ok {
+		e.Answered(a)
+		return
+	}
 	u, ok := m.(galenalatch.RouterUse)
 	if !ok {
 		return
 	}
-	e.hear(from)
 	now := time.Now()
 	loads := make(map[uint32]placement.Load, len(u.Servers))
 	for _, s := range u.Servers {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/members"
+	"github.com/galenalatch/galenalatch/internal/fleet/relay"
 	"github.com/galenalatch/galenalatch/internal/fleet/view"
 	"github.com/galenalatch/galenalatch/internal/peer/use"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
@@ -92,6 +93,7 @@
 	handler  *host.Handler
 	ledger   *share.Ledger
 	policy   admission.Policy
+	relay    *relay.Store
 	members  *members.List
 	peers    *use.Exchange
 	routers  atomic.Int64
@@ -121,9 +123,12 @@
 		Self: s.ID, Local: s.DataCentre, ReadRate: s.Engine.ReadRate, FirstToken: s.Engine.FirstToken.Std(),
 		ColdOver: s.Cold.Over, ColdSlack: s.Cold.Slack,
 	})
-	store := platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext)
+	g.relay = relay.New(relay.Options{
+		Store: platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext),
+		Send:  func(a galenalatch.StoreAnswer) { g.peers.Pass(a) },
+	})
 	g.view = view.New(view.Options{
-		Store: store, Table: g.table, Clock: steady, Events: observe,
+		Store: g.relay, Table: g.table, Clock: steady, Events: observe,
 		OperatorWait: operatorWait, ServerWait: serverWait,
 	})
 	g.client = exchange.New(exchange.Options{
@@ -137,7 +142,7 @@
 		Admit:       g.admit,
 		Ledger:      g.ledger,
 	})
-	g.join(store, observe)
+	g.join(observe)
 	return g, nil
 }
 
--- a/internal/process/gateway/routers.go
+++ b/internal/process/gateway/routers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/rendezvous"
 	"github.com/galenalatch/galenalatch/internal/fleet/members"
+	"github.com/galenalatch/galenalatch/internal/fleet/relay"
 	"github.com/galenalatch/galenalatch/internal/peer/use"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
@@ -18,15 +21,16 @@
 )
 
 // join sets up the list of routers and the connections with them.
-func (g *Gateway) join(store galenalatch.Store, observe observer) {
+func (g *Gateway) join(observe observer) {
 	start := string(galenalatch.NewRequestID())
 	g.peers = use.New(use.Options{
 		Self: g.settings.ID, Start: start, DataCentre: g.settings.DataCentre, Table: g.table, Ledger: g.ledger,
+		Answered:  g.relay.Deliver,
 		Connected: func(r galenalatch.RouterID) { g.log.Event(events.PeerConnected, "peer", r) },
 		Lost:      func(r galenalatch.RouterID, err error) { g.log.Event(events.PeerLost, "peer", r, "error", err) },
 	})
 	g.members = members.New(members.Options{
-		Store:  store,
+		Store:  g.relay,
 		Events: observe,
 		Self: members.Member{
 			ID: g.settings.ID, Address: g.settings.Listen.Peer, DataCentre: g.settings.DataCentre, Start: start,
@@ -46,6 +50,7 @@
 		})
 	}
 	g.table.SetMembers(ids)
+	g.relay.SetMode(relayMode(g.settings.ID, g.settings.DataCentre, list))
 	g.routers.Store(int64(len(ids)))
 	if err := g.peers.SetPeers(instances, token); err != nil {
 		g.log.Event(events.PeerRejected, "error", err)
@@ -53,6 +58,33 @@
 	g.log.Event(events.MembersChanged, "routers", len(ids))
 }
 
+const (
+	// relayFleet is the number of routers up to which each follows the store
+	// itself.
+	relayFleet = 16
+	// relayCount is the number of routers of a data centre that follow the
+	// store for the others.
+	relayCount = 2
+)
+
+// relayMode decides who follows the store for a router.
+func relayMode(self galenalatch.RouterID, d galenalatch.DataCentre, list []members.Member) relay.Mode {
+	if len(list) <= relayFleet {
+		return relay.Alone
+	}
+	var near []string
+	for _, m := range list {
+		if m.DataCentre == d {
+			near = append(near, string(m.ID))
+		}
+	}
+	ranked := rendezvous.Hash{Seed: "relay"}.Rank(string(d), near)
+	if slices.Contains(ranked[:min(relayCount, len(ranked))], string(self)) {
+		return relay.Relaying
+	}
+	return relay.Listening
+}
+
 // removeSilent removes routers that were not heard for long. Writes of two
 // routers at once exclude each other.
 func (g *Gateway) removeSilent(ctx context.Context, now time.Time) {
--- a/message.go
+++ b/message.go
@@ -1,5 +1,7 @@
 package galenalatch
 
+import "time"
+
 // Message is a message between routers. The list of messages is closed.
 type Message interface {
 	// MessageType returns the name of the message on the wire.
@@ -291,6 +293,30 @@
 	Workspaces []WorkspaceUse `cbor:"w"`
 }
 
+// StoreAnswer is an answer of one of the store's feeds that a router passes on
+// to the others of its data centre. It holds what has changed from After to
+// Version; without changes it proves that there were none.
+type StoreAnswer struct {
+	// Feed names the feed: a table of the system's own, or what operators or
+	// backend servers publish.
+	Feed    string `cbor:"feed"`
+	After   uint64 `cbor:"after"`
+	Version uint64 `cbor:"version"`
+	// Clock is the store's steady clock when it answered.
+	Clock         time.Duration  `cbor:"clock"`
+	Configuration *Configuration `cbor:"configuration,omitempty"`
+	Out           []DataCentre   `cbor:"out,omitempty"`
+	In            []DataCentre   `cbor:"in,omitempty"`
+	Present       []Registration `cbor:"present,omitempty"`
+	Gone          []ServerID     `cbor:"gone,omitempty"`
+	Rows          []StoreRow     `cbor:"rows,omitempty"`
+}
+
+// Position returns the position that the answer shows.
+func (a StoreAnswer) Position() Position {
+	return Position{Version: a.Version, Clock: a.Clock, Relayed: true}
+}
+
 // Outgoing is a message with its destination.
 type Outgoing struct {
 	To      RouterID
@@ -353,3 +379,6 @@
 
 // MessageType implements Message.
 func (RouterUse) MessageType() string { return "routerUse" }
+
+// MessageType implements Message.
+func (StoreAnswer) MessageType() string { return "storeAnswer" }
--- a/registration.go
+++ b/registration.go
@@ -30,6 +30,9 @@
 	Version uint64
 	// Clock is the store's steady clock when it made the answer.
 	Clock time.Duration
+	// Relayed answers were passed on by another router. The store may have
+	// made them before they were asked for.
+	Relayed bool
 }
 
 // OperatorUpdate is what operators published.
