--- a/internal/config/gateway/settings.go
+++ b/internal/config/gateway/settings.go
@@ -40,6 +40,9 @@
 	// MemoryMegabytes bounds the memory of the process.
 	MemoryMegabytes int64 `json:"memoryMegabytes" validate:"min=32,max=1048576"`
 
+	// Descriptors bounds the open files of the process.
+	Descriptors int `json:"descriptors" validate:"min=256,max=10000000"`
+
 	// KeyRemoval is the time after which a removed key must not be accepted
 	// any more, on no router.
 	KeyRemoval duration.Duration `json:"keyRemoval" validate:"between=500ms:10m"`
@@ -82,6 +85,7 @@
 func Default() Settings {
 	var s Settings
 	s.MemoryMegabytes = 256
+	s.Descriptors = 4096
 	s.KeyRemoval = duration.Duration(5 * time.Second)
 	s.Drain.Limit = duration.Duration(8 * time.Second)
 	s.Repeats.Ratio, s.Repeats.Fixed, s.Repeats.Window = 0.2, 20, duration.Duration(10*time.Second)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/dial"
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
+	"github.com/galenalatch/galenalatch/internal/caller/front"
 	"github.com/galenalatch/galenalatch/internal/caller/host"
 	"github.com/galenalatch/galenalatch/internal/config/gateway"
 	"github.com/galenalatch/galenalatch/internal/decide/admission"
@@ -74,8 +75,9 @@
 	budgetSpare  = 4
 	// shareWindow is the time over which workspaces share capacity.
 	shareWindow = 4 * time.Second
-	// headerTime bounds the time for the head of a request, and idleTime the
-	// pause between requests on a connection, unless operators limit them.
+	// descriptorShare of the open files are for connections with callers.
+	descriptorShare = 0.5
+	// headerTime and idleTime bound the calls of others than callers.
 	headerTime = 10 * time.Second
 	idleTime   = 2 * time.Minute
 )
@@ -91,6 +93,7 @@
 	view     *view.View
 	client   *exchange.Client
 	handler  *host.Handler
+	front    *front.Server
 	ledger   *share.Ledger
 	policy   admission.Policy
 	relay    *relay.Store
@@ -142,6 +145,10 @@
 		Admit:       g.admit,
 		Ledger:      g.ledger,
 	})
+	g.front = &front.Server{
+		MaxConnections: int(descriptorShare * float64(s.Descriptors)),
+		Refused:        func(err error) { g.log.Event(events.ListenerFailed, "address", s.Listen.Caller, "error", err) },
+	}
 	g.join(observe)
 	return g, nil
 }
@@ -181,10 +188,16 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.MemoryMegabytes<<20)))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	g.front.Handler = g.handler
 	servers, listeners, err := g.open()
 	if err != nil {
 		return err
 	}
+	callers, err := net.Listen("tcp", g.settings.Listen.Caller)
+	if err != nil {
+		g.log.Event(events.ListenerFailed, "address", g.settings.Listen.Caller, "error", err)
+		return errors.Join(fmt.Errorf("listen on %s: %w", g.settings.Listen.Caller, err), closeAll(listeners))
+	}
 	g.log.Event(events.RouterStarted, "dataCentre", g.settings.DataCentre, "caller", g.settings.Listen.Caller, "store", g.settings.Store.Address)
 	var group errgroup.Group
 	group.Go(func() error { return ended(g.view.Run(work)) })
@@ -195,8 +208,12 @@
 	for i, s := range servers {
 		group.Go(func() error { return serve(s, listeners[i]) })
 	}
+	group.Go(func() error { return g.front.Serve(callers) })
 	<-ctx.Done()
-	g.drain(servers)
+	g.drain(callers)
+	for _, s := range servers {
+		_ = s.Close()
+	}
 	stop()
 	return group.Wait()
 }
@@ -216,7 +233,7 @@
 	return nil
 }
 
-// open listens on all addresses. The callers' server is the first one.
+// open listens on the addresses for others than callers.
 func (g *Gateway) open() ([]*http.Server, []net.Listener, error) {
 	readiness, metrics := http.NewServeMux(), http.NewServeMux()
 	readiness.HandleFunc("/", g.serveReady)
@@ -227,7 +244,6 @@
 		address string
 		handler http.Handler
 	}{
-		{g.settings.Listen.Caller, g.handler},
 		{g.settings.Listen.Readiness, readiness},
 		{g.settings.Listen.Peer, g.peers},
 		{g.settings.Listen.Metrics, metrics},
@@ -240,7 +256,6 @@
 		listeners = append(listeners, l)
 		servers = append(servers, &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-			ErrorLog: nil,
 		})
 	}
 	return servers, listeners, nil
@@ -294,6 +309,9 @@
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case now := <-t.C:
+			if c := g.view.Configuration(); c != nil {
+				g.front.SetLimits(c.Limits)
+			}
 			g.table.Expire(now)
 			g.client.Expire(now, func(s galenalatch.ServerID) bool { return g.table.Usable(now, s) })
 			g.removeSilent(ctx, now)
@@ -320,7 +338,7 @@
 }
 
 // drain ends the process without cutting off a request.
-func (g *Gateway) drain(servers []*http.Server) {
+func (g *Gateway) drain(callers net.Listener) {
 	limit := g.settings.Drain.Limit.Std() - drainMargin
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -334,15 +352,10 @@
 	case <-ctx.Done():
 	case <-time.After(min(drainNotice, limit/2)):
 	}
-	cut := 0
-	if err := servers[0].Shutdown(ctx); err != nil {
-		cut = 1
-		// The limit has passed: what is left is cut off.
-		_ = servers[0].Close()
-	}
-	for _, s := range servers[1:] {
-		_ = s.Close()
-	}
-	g.log.Event(events.DrainEnded, "requests", cut)
+	// The listener stays open until here: the balancer may still send new
+	// connections. An error says that it was closed already.
+	_ = callers.Close()
+	err := g.front.Shutdown(ctx)
+	g.log.Event(events.DrainEnded, "error", err)
 	g.log.Event(events.RouterStopped)
 }
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -92,7 +92,7 @@
 	DrainStarted: {log.InfoLevel, "drain started",
 		"The process got SIGTERM. It serves new requests for the drain delay, hands its cells over and lets requests finish.", none},
 	DrainEnded: {log.InfoLevel, "drain ended",
-		"No request is left, or the drain limit has passed; `requests` is the number of requests cut off.",
+		"No request is left, or the drain limit has passed; `requests` is the number of requests cut off, `error` says that there were some.",
 		"When `requests` is not 0, raise `drain.limit`."},
 	RouterStopped: {log.InfoLevel, "router stopped", "The process ends.", none},
 	SettingsInvalid: {log.ErrorLevel, "settings invalid",
