Test the handler of callers against failing servers

Change: stand-ins of the store, of a backend server and of the headers speak the product's interfaces; tests guard true refusals, repeats, streams, keys and callers that leave.

--- /dev/null
+++ b/internal/caller/host/fixture_test.go
@@ -0,0 +1,178 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/backend/exchange"
+	"github.com/galenalatch/galenalatch/internal/decide/budget"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/view"
+	"github.com/galenalatch/galenalatch/internal/standin/headers"
+	"github.com/galenalatch/galenalatch/internal/standin/rows"
+	"github.com/galenalatch/galenalatch/internal/standin/worker"
+)
+
+// fixture is a handler in front of two servers of one service.
+type fixture struct {
+	store   *rows.Store
+	servers []*worker.Server
+	front   *httptest.Server
+	events  *recorder
+	view    *view.View
+	refuse  bool
+}
+
+// recorder keeps what the handler and the view report.
+type recorder struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (r *recorder) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) Lost(feed string, err error)                                  { r.add("lost %s", feed) }
+func (r *recorder) Regained(feed string, _ time.Duration)                        { r.add("regained %s", feed) }
+func (r *recorder) Applied(c *galenalatch.Configuration, _ galenalatch.Position) { r.add("applied") }
+func (r *recorder) OutOfService(d galenalatch.DataCentre, out bool, _ galenalatch.Position) {
+	r.add("out %s %t", d, out)
+}
+func (r *recorder) Server(s galenalatch.Registration, _ galenalatch.Position) {}
+func (r *recorder) ServerGone(galenalatch.ServerID, galenalatch.Position)     {}
+func (r *recorder) Invalid(feed string, err error)                            { r.add("invalid %s", feed) }
+func (r *recorder) Placed(id galenalatch.RequestID, d Decision)               { r.add("placed %s %s", id, d.Server) }
+func (r *recorder) Attempted(id galenalatch.RequestID, d Decision, status int, err error) {
+	if err != nil {
+		r.add("attempt %s %s %d: %v", id, d.Server, status, err)
+	}
+}
+func (r *recorder) Refused(id galenalatch.RequestID, _ Decision, err error) {
+	r.add("refused %s: %v", id, err)
+}
+func (r *recorder) Ended(id galenalatch.RequestID, _ Decision, status int, err error) {
+	r.add("ended %s %d", id, status)
+}
+
+const service = "desk"
+
+// configuration has a route of each kind of work.
+func configuration() *galenalatch.Configuration {
+	target := []galenalatch.Target{{Service: service, Weight: 1}}
+	return &galenalatch.Configuration{
+		Version: 7,
+		Routes: []galenalatch.HostRoute{
+			{Name: "status", Host: "a.example", Prefix: "/status/", Kind: galenalatch.IdempotentWork, Targets: target, MaxAttempts: 2, Public: true},
+			{Name: "log", Host: "a.example", Prefix: "/log/", Kind: galenalatch.OnceWork, Targets: target, MaxAttempts: 2, Public: true, Timeout: time.Second},
+			{Name: "stream", Host: "a.example", Prefix: "/stream/", Kind: galenalatch.StreamWork, Targets: target, MaxAttempts: 2, Public: true, Resumable: true},
+			{Name: "plain stream", Host: "a.example", Prefix: "/stream/once/", Kind: galenalatch.StreamWork, Targets: target, MaxAttempts: 2, Public: true},
+			{Name: "keyed", Host: "a.example", Prefix: "/keyed/", Kind: galenalatch.IdempotentWork, Targets: target, MaxAttempts: 2},
+		},
+		Services: map[string]galenalatch.Service{service: {Name: service}},
+		Limits:   galenalatch.CallerLimits{BodyBytes: 100},
+		Keys:     map[string]galenalatch.Owner{"key-1": {Workspace: "studio"}},
+		Keyed:    true,
+	}
+}
+
+func newFixture(t testing.TB, c *galenalatch.Configuration) *fixture {
+	t.Helper()
+	f := &fixture{store: rows.New(), events: &recorder{}}
+	table := placement.New(placement.Options{Self: "r1", Local: "a", ReadRate: 50, ColdOver: 1.5, ColdSlack: 5})
+	start := time.Now()
+	f.view = view.New(view.Options{
+		Store: f.store, Table: table, Clock: func() time.Duration { return time.Since(start) }, Events: f.events,
+		OperatorWait: 50 * time.Millisecond, ServerWait: 50 * time.Millisecond,
+	})
+	h := New(Options{
+		View: f.view, Table: table, Headers: headers.Headers{}, Events: f.events, MaxProofAge: 400 * time.Millisecond,
+		Client: exchange.New(exchange.Options{
+			Dial: (&net.Dialer{}).DialContext, Headers: headers.Headers{}, DialTimeout: time.Second, MaxIdle: 4,
+		}),
+		NewBudget: func() *budget.Budget { return &budget.Budget{Fixed: 100, Window: 10 * time.Second} },
+		Admit:     func(time.Time, Demand, time.Duration) bool { return !f.refuse },
+		Ledger:    share.New(4 * time.Second),
+	})
+	for _, id := range []galenalatch.ServerID{"s1", "s2"} {
+		s, err := worker.New(id)
+		assert.NilError(t, err)
+		t.Cleanup(func() { assert.NilError(t, s.Close()) })
+		f.servers = append(f.servers, s)
+		f.store.Register(galenalatch.Registration{ID: id, Service: service, Address: s.Address(), DataCentre: "a", Slots: 4})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.view.Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.ErrorIs(t, <-done, context.Canceled) })
+	if c != nil {
+		f.store.Configure(c)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if f.view.Configuration() != nil && table.Usable(time.Now(), "s2") {
+				return poll.Success()
+			}
+			return poll.Continue("no view yet")
+		}, poll.WithDelay(5*time.Millisecond))
+	}
+	f.front = httptest.NewServer(h)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+// set makes both servers, or only the one that is chosen first, misbehave.
+func (f *fixture) set(b worker.Behaviour) {
+	for _, s := range f.servers {
+		s.Set(b)
+	}
+}
+
+func (f *fixture) runs(id string) int {
+	return f.servers[0].Runs(id) + f.servers[1].Runs(id)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fixture) call(ctx context.Context, method, path, id, body string, more ...string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, f.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Host = "a.example"
+	r.Header.Set(headers.Request, id)
+	r.Header.Set(headers.Deadline, "2s")
+	for i := 0; i+1 < len(more); i += 2 {
+		r.Header.Set(more[i], more[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	a, err := transport.RoundTrip(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	text, err := io.ReadAll(a.Body)
+	closing := a.Body.Close()
+	if err == nil {
+		err = closing
+	}
+	return answer{status: a.StatusCode, header: a.Header, body: string(text), err: err}
+}
--- /dev/null
+++ b/internal/caller/host/handler_test.go
@@ -0,0 +1,228 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/galenalatch/galenalatch/internal/standin/headers"
+	"github.com/galenalatch/galenalatch/internal/standin/rows"
+	"github.com/galenalatch/galenalatch/internal/standin/worker"
+)
+
+// Guards against repeats of requests that may not be repeated, false
+// refusals, answers of other requests, and cut answers that look whole, for
+// each way in which a server fails.
+func TestServerFailures(t *testing.T) {
+	const request = "r-1"
+	tests := []struct {
+		name   string
+		path   string
+		first  worker.Behaviour
+		second worker.Behaviour
+		status int
+		runs   int
+	}{
+		{"answer", "/status/1", worker.Answer, worker.Answer, 200, 1},
+		{"shed request goes on", "/status/1", worker.Shed, worker.Answer, 200, 1},
+		{"failed request is repeated", "/status/1", worker.Fail, worker.Answer, 200, 2},
+		{"failure of all servers is returned", "/status/1", worker.Fail, worker.Fail, 500, 2},
+		{"lost answer is repeated", "/status/1", worker.Lose, worker.Answer, 200, 2},
+		{"cut answer is repeated", "/status/1", worker.Truncate, worker.Answer, 200, 2},
+		{"answer without seal is repeated", "/status/1", worker.Unsealed, worker.Answer, 200, 2},
+		{"two lost answers", "/status/1", worker.Lose, worker.Lose, 502, 2},
+		{"all servers shed", "/status/1", worker.Shed, worker.Shed, 503, 0},
+		{"late answer to another request is skipped", "/status/1", worker.Foreign, worker.Foreign, 200, 1},
+		{"second answer is dropped", "/status/1", worker.Extra, worker.Extra, 200, 1},
+		{"once: answer", "/log/1", worker.Answer, worker.Answer, 200, 1},
+		{"once: shed request goes on", "/log/1", worker.Shed, worker.Answer, 200, 1},
+		{"once: lost answer is not repeated", "/log/1", worker.Lose, worker.Lose, 502, 1},
+		{"once: cut answer is not repeated", "/log/1", worker.Truncate, worker.Truncate, 502, 1},
+		{"once: failure is returned", "/log/1", worker.Fail, worker.Fail, 500, 1},
+		{"once: all servers shed", "/log/1", worker.Shed, worker.Shed, 503, 0},
+		{"once: no answer", "/log/1", worker.Mute, worker.Mute, 504, 1},
+		{"stream that may not be resumed: lost", "/stream/once/1", worker.Lose, worker.Lose, 502, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, configuration())
+			// Whichever server is chosen first behaves as the first.
+			f.set(tt.first)
+			if tt.first != tt.second {
+				f.servers[1].Set(tt.second)
+			}
+			a := f.call(t.Context(), "POST", tt.path, request, "body")
+			if tt.first != tt.second && a.status == tt.status && f.servers[0].Runs(request) == 0 && tt.first != worker.Shed {
+				// The sound server was chosen first: ask with it failing first.
+				f.servers[0].Set(tt.second)
+				f.servers[1].Set(tt.first)
+				a = f.call(t.Context(), "POST", tt.path, "r-2", "body")
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, tt.status)
+				return
+			}
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, tt.status, strings.Join(f.events.lines, "\n"))
+			assert.Equal(t, f.runs(request), tt.runs, strings.Join(f.events.lines, "\n"))
+			if a.status == 200 {
+				assert.Assert(t, strings.HasPrefix(a.body, "served by "), a.body)
+				assert.Assert(t, a.header.Get(headers.Seal) != "")
+			}
+			if a.status == 503 {
+				assert.Assert(t, a.header.Get(headers.Return) != "", "a refusal says when to come back")
+			}
+		})
+	}
+}
+
+// Guards against an answer to an earlier request on a connection that is used
+// again.
+func TestSurplusBytesEndConnection(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.set(worker.Extra)
+	for i := range 20 {
+		a := f.call(t.Context(), "GET", "/status/1", fmt.Sprint("r-", i), "")
+		assert.NilError(t, a.err)
+		assert.Assert(t, strings.HasPrefix(a.body, "served by "), a.body)
+	}
+	assert.Equal(t, f.servers[0].Dials()+f.servers[1].Dials(), 20)
+}
+
+// Guards against gaps, doubled events and false ends of streams.
+func TestStreams(t *testing.T) {
+	all := ""
+	for i := 1; i <= 3; i++ {
+		all += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+	}
+	t.Run("whole", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		a := f.call(t.Context(), "POST", "/stream/1", "r-1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, all)
+	})
+	t.Run("resumed after a torn event", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.set(worker.Torn)
+		a := f.call(t.Context(), "POST", "/stream/1", "r-1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, all)
+		assert.Equal(t, f.runs("r-1"), 2)
+	})
+	t.Run("caller resumes", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		a := f.call(t.Context(), "POST", "/stream/1", "r-1", "", headers.LastEvent, "2")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, "id: 3\ndata: piece 3\n\n")
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.set(worker.Torn)
+		a := f.call(t.Context(), "POST", "/stream/once/1", "r-1", "")
+		assert.Assert(t, a.err != nil, "a broken stream must not look whole")
+		assert.Equal(t, f.runs("r-1"), 1)
+	})
+}
+
+// Guards against work for callers that have left.
+func TestCallerGone(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.set(worker.Mute)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	a := f.call(ctx, "POST", "/log/1", "r-1", "body")
+	assert.ErrorIs(t, a.err, context.DeadlineExceeded)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.servers[0].Cancelled("r-1") || f.servers[1].Cancelled("r-1") {
+			return poll.Success()
+		}
+		return poll.Continue("the server still works")
+	}, poll.WithTimeout(500*time.Millisecond), poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, f.runs("r-1"), 1)
+}
+
+// Guards against wrong refusals: without a configuration a router knows
+// nothing, without a proof it must not trust a key.
+func TestRefusals(t *testing.T) {
+	t.Run("no configuration", func(t *testing.T) {
+		f := newFixture(t, nil)
+		assert.Equal(t, f.call(t.Context(), "GET", "/status/1", "r-1", "").status, http.StatusServiceUnavailable)
+	})
+	f := newFixture(t, configuration())
+	tests := []struct {
+		name   string
+		path   string
+		body   string
+		header []string
+		status int
+	}{
+		{"no route", "/none/1", "", nil, http.StatusNotFound},
+		{"no key", "/keyed/1", "", nil, http.StatusUnauthorized},
+		{"unknown key", "/keyed/1", "", []string{headers.Key, "key-2"}, http.StatusUnauthorized},
+		{"key", "/keyed/1", "", []string{headers.Key, "key-1"}, http.StatusOK},
+		{"body too large", "/status/1", strings.Repeat("x", 101), nil, http.StatusRequestEntityTooLarge},
+		{"bad deadline", "/status/1", "", []string{headers.Deadline, "soon"}, http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := f.call(t.Context(), "POST", tt.path, "r-1", tt.body, tt.header...)
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, tt.status)
+		})
+	}
+	for _, s := range f.servers {
+		for _, h := range s.Seen() {
+			assert.Equal(t, h.Get(headers.Key), "", "a server must not see keys")
+			assert.Equal(t, h.Get(headers.Workspace), "studio")
+		}
+	}
+}
+
+// Guards against keys that are accepted after their removal: a router that
+// cannot reach the store refuses them in time, and serves what needs no key.
+func TestStaleProof(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.store.SetFault(rows.Refusing)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a := f.call(t.Context(), "GET", "/keyed/1", "r-1", "", headers.Key, "key-1")
+		if a.status == http.StatusServiceUnavailable {
+			return poll.Success()
+		}
+		return poll.Continue("status %d", a.status)
+	}, poll.WithTimeout(2*time.Second), poll.WithDelay(20*time.Millisecond))
+	age, ok := f.view.Age()
+	assert.Assert(t, ok && age >= 400*time.Millisecond)
+	assert.Equal(t, f.call(t.Context(), "GET", "/status/1", "r-2", "").status, http.StatusOK)
+	f.store.SetFault(rows.Sound)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a := f.call(t.Context(), "GET", "/keyed/1", "r-3", "", headers.Key, "key-1"); a.status != http.StatusOK {
+			return poll.Continue("status %d", a.status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(3*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// Guards against requests that are held although they cannot be served.
+func TestRefusedForCapacity(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.refuse = true
+	a := f.call(t.Context(), "POST", "/stream/1", "r-1", "")
+	assert.Equal(t, a.status, http.StatusTooManyRequests)
+	assert.Equal(t, f.runs("r-1"), 0)
+}
+
+// Measures the processor time of one event of a stream.
+func BenchmarkStreamEvent(b *testing.B) {
+	f := newFixture(b, configuration())
+	f.servers[0].Events, f.servers[1].Events = b.N, b.N
+	b.ResetTimer()
+	a := f.call(b.Context(), "POST", "/stream/1", "r-1", "", headers.Deadline, "10m")
+	if a.err != nil || strings.Count(a.body, "\n\n") != b.N {
+		b.Fatal(a.err, len(a.body))
+	}
+}
