Predict waits from late first tokens and full servers

Cause: the model of an engine knew its reading rate but neither its slots nor that a batch slows reading down.

Change: a server's wait includes the lateness of recent first tokens, that of requests that still wait, and the time for a free slot. Many streams at once are read and written together within a third of the allowed time. A router without processor time is not ready. A status line shows the resources of the process.

--- a/internal/backend/exchange/client.go
+++ b/internal/backend/exchange/client.go
@@ -284,3 +284,14 @@
 		c.idle[server] = kept
 	}
 }
+
+// Idle returns the number of idle connections.
+func (c *Client) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, list := range c.idle {
+		n += len(list)
+	}
+	return n
+}
--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -154,6 +154,9 @@
 	}
 }
 
+// Open returns the number of open connections.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
 // ServeHTTP implements http.Handler. Callers are told to leave when the
 // process holds many connections.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/caller/host/answer.go
+++ b/internal/caller/host/answer.go
@@ -150,6 +150,15 @@
 	}
 }
 
+const (
+	// fewStreams is the number of streams up to which each event is passed
+	// on alone. For each further stream the wait grows by gatherStep, up to
+	// the share gatherShare of the limit.
+	fewStreams  = 24
+	gatherStep  = time.Millisecond
+	gatherShare = 3
+)
+
 // streamBuffer is the size of a read of a stream.
 const streamBuffer = 8 << 10
 
@@ -171,7 +180,12 @@
 	buffer := make([]byte, streamBuffer)
 	var pending []byte
 	first := true
+	t.h.streams.Add(1)
+	defer t.h.streams.Add(-1)
 	for {
+		if !first {
+			t.gather(ctx, int(t.h.streams.Load()))
+		}
 		n, err := a.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if first && n > 0 {
@@ -210,6 +224,23 @@
 	}
 }
 
+// gather waits for more events of a stream when the router forwards many, so
+// that it reads and writes them together. The wait is a small part of the
+// time within which an event must be passed on.
+func (t *task) gather(ctx context.Context, streams int) {
+	wait := time.Duration(streams-fewStreams) * gatherStep
+	if limit := t.h.PassLimit / gatherShare; wait > limit {
+		wait = limit
+	}
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // pass sends events to the caller and remembers the id of the last one.
 func (t *task) pass(events []byte, flush *http.ResponseController) error {
 	if len(events) == 0 {
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -35,6 +35,9 @@
 	// MaxProofAge is the age of the proof of the configuration above which
 	// requests with keys are refused.
 	MaxProofAge time.Duration
+	// PassLimit is the time within which an event of a stream must be passed
+	// on.
+	PassLimit time.Duration
 	// NewBudget returns the budget of repeats for one service.
 	NewBudget func() *budget.Budget
 	// Admit decides whether a request that is predicted to get its first
@@ -91,6 +94,8 @@
 type Handler struct {
 	Options
 	draining atomic.Bool
+	// streams is the number of streams that are passed on.
+	streams atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget
@@ -106,6 +111,9 @@
 	h.draining.Store(true)
 }
 
+// Streams returns the number of streams that are passed on.
+func (h *Handler) Streams() int { return int(h.streams.Load()) }
+
 // withBudget calls f with the budget of a service.
 func (h *Handler) withBudget(service string, f func(*budget.Budget) bool) bool {
 	h.mu.Lock()
--- a/internal/caller/host/handler_test.go
+++ b/internal/caller/host/handler_test.go
@@ -226,3 +226,15 @@
 		b.Fatal(a.err, len(a.body))
 	}
 }
+
+// Measures a whole stream of 30 events, with the work of caller and server.
+func BenchmarkStream(b *testing.B) {
+	f := newFixture(b, configuration())
+	f.servers[0].Events, f.servers[1].Events = 30, 30
+	for i := range b.N {
+		a := f.call(b.Context(), "POST", "/stream/1", fmt.Sprint("r-", i), "")
+		if a.err != nil {
+			b.Fatal(a.err)
+		}
+	}
+}
--- a/internal/config/gateway/settings.go
+++ b/internal/config/gateway/settings.go
@@ -47,6 +47,10 @@
 	// any more, on no router.
 	KeyRemoval duration.Duration `json:"keyRemoval" validate:"between=500ms:10m"`
 
+	// PassLimit is the time within which an event of a stream must be passed
+	// on to be in time.
+	PassLimit duration.Duration `json:"passLimit" validate:"between=0s:10s"`
+
 	// Drain.Limit is the time from SIGTERM to the end of the process.
 	Drain struct {
 		Limit duration.Duration `json:"limit" validate:"between=1s:24h"`
@@ -87,6 +91,7 @@
 	s.MemoryMegabytes = 256
 	s.Descriptors = 4096
 	s.KeyRemoval = duration.Duration(5 * time.Second)
+	s.PassLimit = duration.Duration(100 * time.Millisecond)
 	s.Drain.Limit = duration.Duration(8 * time.Second)
 	s.Repeats.Ratio, s.Repeats.Fixed, s.Repeats.Window = 0.2, 20, duration.Duration(10*time.Second)
 	s.Cold.Over, s.Cold.Slack = 1.5, 5
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -147,7 +147,7 @@
 		fresh := total - p.Cached
 		p.cost = time.Duration(float64(fresh)/t.ReadRate*float64(time.Millisecond)) +
 			time.Duration(float64(fresh)*(float64(total)-float64(fresh)/2)/1e6*float64(pairTime))
-		p.Wait = s.backlog(now) + remote.Reading + p.cost + t.FirstToken
+		p.Wait = s.backlog(now) + remote.Reading + p.cost + t.FirstToken + s.delay(now) + s.full(s.running+remote.Running)
 		score = p.Wait + time.Duration((rereadWeight-1)*float64(p.cost))
 	} else {
 		p.cost = plainCost
--- a/internal/decide/placement/progress.go
+++ b/internal/decide/placement/progress.go
@@ -48,6 +48,9 @@
 func (t *Table) First(now time.Time, p *Place) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, ok := p.server.reading[p]; ok {
+		p.server.firstToken(now, p)
+	}
 	t.endReading(now, p)
 	for i, k := range p.keys {
 		p.server.kept.Add(k, p.parts[i].Tokens)
@@ -73,6 +76,7 @@
 	s.running--
 	switch r {
 	case Served:
+		s.duration += time.Duration(float64(now.Sub(p.sent)-s.duration) * durationWeight)
 		s.failed(0)
 		s.pause = 0
 	case Failed:
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -15,6 +15,13 @@
 	// failureWeight is the share of the newest answer in the average rate of
 	// failures.
 	failureWeight = 0.1
+	// lateWeight is the share of the newest first token in the average of
+	// delays, lateMemory the time after which the average counts no more.
+	lateWeight = 0.3
+	lateMemory = 1500 * time.Millisecond
+	// durationWeight is the share of the newest exchange in the average
+	// duration.
+	durationWeight = 0.1
 	// firstPause and longestPause bound the time for which a server that
 	// cannot be reached gets no new requests.
 	firstPause   = 500 * time.Millisecond
@@ -37,6 +44,11 @@
 	// coldSends are the times of the own requests in the last second.
 	coldSends []time.Time
 	removal   time.Time
+	// late is how much later than predicted first tokens came, lateAt when
+	// the newest came. duration is the average time of an exchange.
+	late      time.Duration
+	lateAt    time.Time
+	duration  time.Duration
 	failures  float64
 	pause     time.Duration
 	pausedTo  time.Time
@@ -106,6 +118,38 @@
 	return max(sum-now.Sub(s.readSince), sum/8)
 }
 
+// delay returns how much later than the model predicts the server gives first
+// tokens: on average a short time ago, or by now for a request that still
+// waits.
+func (s *server) delay(now time.Time) time.Duration {
+	d := s.delayAverage(now)
+	for p := range s.reading {
+		d = max(d, now.Sub(p.sent)-p.Wait)
+	}
+	return d
+}
+
+// firstToken records how late the first token of a place came.
+func (s *server) firstToken(now time.Time, p *Place) {
+	late := max(now.Sub(p.sent)-p.Wait, 0)
+	s.late = s.delayAverage(now)
+	s.late += time.Duration(float64(late-s.late) * lateWeight)
+	s.lateAt = now
+}
+
+func (s *server) delayAverage(now time.Time) time.Duration {
+	age := min(now.Sub(s.lateAt), lateMemory)
+	return time.Duration(float64(s.late) * (1 - float64(age)/float64(lateMemory)))
+}
+
+// full returns how long a request waits for a slot when busy requests run.
+func (s *server) full(busy int) time.Duration {
+	if busy < s.Slots {
+		return 0
+	}
+	return time.Duration(busy-s.Slots+1) * s.duration / time.Duration(s.Slots)
+}
+
 func (s *server) failed(weight float64) {
 	s.failures += (weight - s.failures) * failureWeight
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -102,6 +102,7 @@
 	routers  atomic.Int64
 	// looked is when silent routers were looked for.
 	looked   time.Time
+	pressure pressure
 	draining atomic.Bool
 	wasReady atomic.Bool
 }
@@ -141,6 +142,7 @@
 	g.handler = host.New(host.Options{
 		View: g.view, Table: g.table, Client: g.client, Headers: platform.Headers{}, Events: observe,
 		MaxProofAge: s.KeyRemoval.Std() - proofMargin,
+		PassLimit:   s.PassLimit.Std(),
 		NewBudget:   g.newBudget,
 		Admit:       g.admit,
 		Ledger:      g.ledger,
@@ -203,6 +205,8 @@
 	group.Go(func() error { return ended(g.view.Run(work)) })
 	group.Go(func() error { return ended(g.loop(work)) })
 	group.Go(func() error { return ended(g.reload(work)) })
+	group.Go(func() error { return ended(g.pressure.run(work)) })
+	group.Go(func() error { return ended(g.runStatus(work)) })
 	group.Go(func() error { return ended(g.members.Run(work)) })
 	group.Go(func() error { return ended(g.peers.Run(work)) })
 	for i, s := range servers {
@@ -297,6 +301,9 @@
 	if limit := time.Duration(readyProof * float64(g.settings.KeyRemoval)); c.Keyed && (!ok || age > limit) {
 		return false, "the proof of the configuration is too old"
 	}
+	if g.pressure.high(time.Now()) {
+		return false, "the processor is overloaded"
+	}
 	return true, ""
 }
 
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -69,6 +69,7 @@
 	StoreRegained    Number = 8108
 	MembersChanged   Number = 8109
 	SettingsReloaded Number = 8201
+	ProcessStatus    Number = 8202
 )
 
 // event is what an operator is told about a number.
@@ -223,4 +224,7 @@
 		"The list of routers in the store has changed.", none},
 	SettingsReloaded: {log.InfoLevel, "settings reloaded", "SIGHUP: the settings file was read again. An `error` means that the old settings stay in force.",
 		"Correct the file when there is an error."},
+	ProcessStatus: {log.InfoLevel, "process status",
+		"The resources of the process: connections with callers, streams, connections with backend servers that are idle, heap and collector.",
+		"When `callers` or `heap` come near the limits of the settings, the instance is too small for its share of callers."},
 }
