Accept connections without waiting for turns of the processor

Routers that started together learned of each other only after 15 s.

Change: accepted connections are queued; answers close connections at an eighth of the descriptors; a router is not ready from 40 ms of lateness on; slow feeds are passed on every 3 s.

--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -31,7 +31,11 @@
 	headerSlack = 1 << 10
 	// fullShare is the share of the allowed connections above which answers
 	// close their connections.
-	fullShare = 0.6
+	fullShare = 0.5
+	// acceptQueue is the number of accepted connections that wait for the
+	// library, so that accepting does not wait for a turn of the processor
+	// for each one.
+	acceptQueue = 256
 	// acceptPause is the pause after a failed accept.
 	acceptPause = 5 * time.Millisecond
 )
@@ -118,7 +122,7 @@
 	if s.done || s.now != nil && s.now.limits == limits {
 		return
 	}
-	g := &generation{limits: limits, conns: make(chan net.Conn), closed: make(chan struct{}), addr: &net.TCPAddr{}}
+	g := &generation{limits: limits, conns: make(chan net.Conn, acceptQueue), closed: make(chan struct{}), addr: &net.TCPAddr{}}
 	h := &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
 		ConnState: s.count,
@@ -142,6 +146,15 @@
 	if err := h.Serve(g); !errors.Is(err, http.ErrServerClosed) && s.Refused != nil {
 		s.Refused(err)
 	}
+	for {
+		select {
+		case c := <-g.conns:
+			// Its request was not read: the caller may send it elsewhere.
+			_ = c.Close()
+		default:
+			return
+		}
+	}
 }
 
 // count keeps the number of open connections.
--- a/internal/fleet/relay/store.go
+++ b/internal/fleet/relay/store.go
@@ -31,8 +31,11 @@
 	// feed before it calls the store itself. It is shorter than the time
 	// within which a leaving server must get no new requests.
 	silence = 1300 * time.Millisecond
-	// urgent is the longest wait of an urgent feed.
-	urgent = 5 * time.Second
+	// urgent is the longest wait of an urgent feed. slowWait and slowSilence
+	// are the times of the others.
+	urgent      = 5 * time.Second
+	slowWait    = 3 * time.Second
+	slowSilence = 4500 * time.Millisecond
 	// maxKept bounds the answers that wait to be read.
 	maxKept = 64
 )
@@ -131,10 +134,7 @@
 	if !s.is(Listening) || after == galenalatch.Everything {
 		return galenalatch.StoreAnswer{}, false
 	}
-	if wait <= urgent {
-		wait = silence
-	}
-	limit := time.NewTimer(wait)
+	limit := time.NewTimer(quiet(wait))
 	defer limit.Stop()
 	for {
 		m, ok, gap, arrived := s.next(feed, after)
@@ -162,7 +162,15 @@
 	case wait <= urgent:
 		return min(wait, relayWait)
 	}
-	return wait
+	return min(wait, slowWait)
+}
+
+// quiet returns how long a router waits for a relayed answer.
+func quiet(wait time.Duration) time.Duration {
+	if wait <= urgent {
+		return silence
+	}
+	return slowSilence
 }
 
 // pass sends an answer of the store to the other routers.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -76,7 +76,7 @@
 	// shareWindow is the time over which workspaces share capacity.
 	shareWindow = 4 * time.Second
 	// descriptorShare of the open files are for connections with callers.
-	descriptorShare = 0.5
+	descriptorShare = 0.25
 	// headerTime and idleTime bound the calls of others than callers.
 	headerTime = 10 * time.Second
 	idleTime   = 2 * time.Minute
--- a/internal/process/gateway/pressure.go
+++ b/internal/process/gateway/pressure.go
@@ -14,7 +14,7 @@
 	pressureWeight = 0.1
 	// pressureLimit is the average lateness above which the balancer should
 	// send new connections elsewhere, pressureHold for how long.
-	pressureLimit = 80 * time.Millisecond
+	pressureLimit = 40 * time.Millisecond
 	pressureHold  = 4 * time.Second
 )
 
