--- /dev/null
+++ b/internal/backend/exchange/client_test.go
@@ -0,0 +1,102 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/standin/headers"
+	"github.com/galenalatch/galenalatch/internal/standin/worker"
+)
+
+func newClient(t *testing.T) (*Client, *worker.Server) {
+	t.Helper()
+	s, err := worker.New("s1")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	return New(Options{Dial: (&net.Dialer{}).DialContext, Headers: headers.Headers{}, DialTimeout: time.Second, MaxIdle: 2}), s
+}
+
+func request(s *worker.Server, id string) *Request {
+	return &Request{
+		ID: "r-1", Server: s.ID, Address: s.Address(), Method: "POST", URI: "/a?b=%20c", Host: "a.example", Body: []byte("body"),
+		Header: http.Header{headers.Request: {id}},
+	}
+}
+
+// exchanged makes one exchange and reads its answer whole.
+func exchanged(t *testing.T, c *Client, r *Request) string {
+	t.Helper()
+	a, err := c.Send(t.Context(), r)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	a.Close()
+	return string(body)
+}
+
+// Guards against connections that are dropped after a clean exchange, and
+// against those that are kept after one that was not.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	tests := []struct {
+		behaviour worker.Behaviour
+		dials     int
+	}{
+		{worker.Answer, 1}, {worker.Fail, 1}, {worker.Extra, 4}, {worker.Foreign, 4},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.behaviour), func(t *testing.T) {
+			c, s := newClient(t)
+			s.Set(tt.behaviour)
+			for range 4 {
+				assert.Assert(t, !strings.Contains(exchanged(t, c, request(s, "r-1")), "not yours"))
+			}
+			assert.Equal(t, s.Dials(), tt.dials)
+		})
+	}
+}
+
+// Guards against requests on connections that have been idle for too long.
+func TestFreshConnection(t *testing.T) {
+	c, s := newClient(t)
+	exchanged(t, c, request(s, "r-1"))
+	r := request(s, "r-1")
+	r.MaxIdleAge = time.Nanosecond
+	exchanged(t, c, r)
+	assert.Equal(t, s.Dials(), 2)
+	c.Expire(time.Now().Add(time.Hour), func(galenalatch.ServerID) bool { return true })
+	assert.Equal(t, c.Idle(), 0)
+}
+
+// Guards against failures that are taken for certain: only a request that
+// was not written certainly did not run.
+func TestErrors(t *testing.T) {
+	c, s := newClient(t)
+	s.Set(worker.Lose)
+	_, err := c.Send(t.Context(), request(s, "r-1"))
+	var unsent *NotSentError
+	assert.Assert(t, err != nil && !errors.As(err, &unsent), "%v", err)
+
+	s.Set(worker.Mute)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = c.Send(ctx, request(s, "r-1"))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Assert(t, !errors.As(err, &unsent))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	r := request(s, "r-1")
+	r.Server, r.Address = "s2", l.Addr().String()
+	_, err = c.Send(t.Context(), r)
+	assert.Assert(t, errors.As(err, &unsent), "%v", err)
+}
--- /dev/null
+++ b/internal/config/gateway/settings_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// values replace the placeholders of the template, as the platform does.
+var values = map[string]string{
+	"nodeName|json": `"front-a-1"`, "zone|json": `"a"`, "ip": "10.1.0.33", "internalPorts.0": "7400",
+	"listenAddrs.front|json": `"10.1.0.33:8783"`, "listenAddrs.ready|json": `"10.1.0.33:8780"`,
+	"platform.address|json": `"10.200.1.7:8781"`, "limits.memoryMb": "284", "limits.maxFds": "4100",
+	"bounds.revokeMs": "5000", "bounds.graceS": "8", "bounds.passMs": "120", "bounds.retryBudgetRatio": "0.2",
+	"bounds.retrySlack": "56", "bounds.retryWindowS": "10", "bounds.coldOver": "1.5", "bounds.coldSlack": "5",
+}
+
+// Guards against a template that renders settings which the program rejects.
+func TestTemplate(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/gateway.json.tmpl")
+	assert.NilError(t, err)
+	rendered := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(text), func(p string) string {
+		v, ok := values[strings.Trim(p, "{}")]
+		assert.Assert(t, ok, "unknown placeholder %s", p)
+		return v
+	})
+	s, err := Parse([]byte(rendered))
+	assert.NilError(t, err)
+	golden.Assert(t, s.String()+"\n", "rendered.golden")
+}
+
+// Guards against wrong settings that a process starts with.
+func TestFaults(t *testing.T) {
+	valid := Default()
+	valid.ID, valid.DataCentre, valid.Store.Address = "r1", "a", "127.0.0.1:1"
+	valid.Listen.Caller, valid.Listen.Readiness, valid.Listen.Peer, valid.Listen.Metrics = "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"
+	_, err := Parse([]byte(valid.String()))
+	assert.NilError(t, err)
+	tests := []struct{ name, old, new, fault string }{
+		{"unknown field", `"id"`, `"name"`, "name"},
+		{"no address", `"127.0.0.1:1"`, `"store"`, "store"},
+		{"negative ratio", `"ratio": 0.2`, `"ratio": -1`, "ratio"},
+		{"no duration", `"keyRemoval": "5s"`, `"keyRemoval": 5`, "keyRemoval"},
+		{"unknown level", `"level": "info"`, `"level": "loud"`, "level"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(valid.String(), tt.old, tt.new, 1)))
+			assert.ErrorContains(t, err, tt.fault)
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/admission/policy_test.go
@@ -0,0 +1,31 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that are taken on although their first token will
+// be late, and against workspaces above their share that crowd out others.
+func TestAdmit(t *testing.T) {
+	const aim = time.Second
+	tests := []struct {
+		name   string
+		demand Demand
+		admit  bool
+	}{
+		{"idle engines", Demand{Aim: aim, Wait: 100 * time.Millisecond, Fraction: 3}, true},
+		{"within the share", Demand{Aim: aim, Wait: 900 * time.Millisecond, Fraction: 0.5}, true},
+		{"beyond the share", Demand{Aim: aim, Wait: 500 * time.Millisecond, Fraction: 1}, false},
+		{"too late", Demand{Aim: aim, Wait: 960 * time.Millisecond}, false},
+		{"too late after waiting", Demand{Aim: aim, Wait: 500 * time.Millisecond, Waited: 500 * time.Millisecond}, false},
+		{"no aim", Demand{Wait: time.Hour}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, Default().Admit(tt.demand), tt.admit)
+		})
+	}
+}
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -46,14 +46,14 @@
 	removal   time.Time
 	// late is how much later than predicted first tokens came, lateAt when
 	// the newest came. duration is the average time of an exchange.
-	late      time.Duration
-	lateAt    time.Time
-	duration  time.Duration
-	failures  float64
-	pause     time.Duration
-	pausedTo  time.Time
-	load      galenalatch.ServerLoad
-	loadAt    time.Time
+	late     time.Duration
+	lateAt   time.Time
+	duration time.Duration
+	failures float64
+	pause    time.Duration
+	pausedTo time.Time
+	load     galenalatch.ServerLoad
+	loadAt   time.Time
 }
 
 func newServer(r galenalatch.Registration) *server {
--- /dev/null
+++ b/internal/decide/placement/table_test.go
@@ -0,0 +1,223 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+var start = time.Unix(1000, 0)
+
+const pool = "pool"
+
+func newTable(self galenalatch.RouterID, servers int) *Table {
+	t := New(Options{Self: self, Local: "a", ReadRate: 50, FirstToken: 50 * time.Millisecond, ColdOver: 1.5, ColdSlack: 5})
+	t.SetServices(map[string]galenalatch.Service{pool: {Name: pool, Engine: true, ColdTime: 3 * time.Second, ColdRate: 7.3}})
+	for i := range servers {
+		t.Put(start, registration(i))
+	}
+	return t
+}
+
+func registration(i int) galenalatch.Registration {
+	return galenalatch.Registration{
+		ID: galenalatch.ServerID(fmt.Sprint("s", i)), Service: pool, Address: fmt.Sprint("10.0.0.", i, ":80"),
+		DataCentre: galenalatch.DataCentre("abcd"[i%4 : i%4+1]), Slots: 64,
+	}
+}
+
+func prompt(i int) Ask {
+	return Ask{Service: pool, Model: "m", PromptTokens: 17000, Prompt: []galenalatch.PromptPart{
+		{ID: fmt.Sprint("shared", i), Tokens: 13000}, {ID: fmt.Sprint("own", i), Tokens: 4000},
+	}}
+}
+
+// Guards against routers that read the shared parts of a prompt on many
+// servers: without load all of them choose the same one.
+func TestRoutersAgree(t *testing.T) {
+	for i := range 20 {
+		p, ok := newTable("r1", 12).Choose(start, prompt(i))
+		assert.Assert(t, ok)
+		q, ok := newTable("r2", 12).Choose(start, prompt(i))
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Server, q.Server)
+	}
+}
+
+// Guards against a preferred server that gets everything: requests for one
+// prompt spread when it falls behind, and stay when it does not.
+func TestLoadSpreads(t *testing.T) {
+	table := newTable("r1", 12)
+	first, _ := table.Choose(start, prompt(1))
+	seen := map[galenalatch.ServerID]int{first.Server: 1}
+	for range 40 {
+		p, ok := table.Choose(start, prompt(1))
+		assert.Assert(t, ok)
+		seen[p.Server]++
+	}
+	assert.Assert(t, len(seen) > 1 && seen[first.Server] > 2, "%v", seen)
+}
+
+// Guards against queues at engines that other routers have filled.
+func TestRemoteLoad(t *testing.T) {
+	table := newTable("r1", 12)
+	first, _ := table.Choose(start, prompt(1))
+	table.Done(start, first, Served)
+	table.SetRemote(start, "r2", map[uint32]Load{first.server.key(): {Running: 5, Reading: 2 * time.Second}})
+	p, _ := table.Choose(start, prompt(1))
+	assert.Assert(t, p.Server != first.Server)
+	// A router that is not heard any more does not count.
+	later := start.Add(maxRemoteAge)
+	p, _ = table.Choose(later, prompt(2))
+	table.Done(later, p, Served)
+	p, _ = table.Choose(later, prompt(1))
+	assert.Equal(t, p.Server, first.Server)
+}
+
+// Guards against predictions that ignore what is seen: late first tokens
+// raise them, full servers too, and both are forgotten.
+func TestPredictionFollowsDelays(t *testing.T) {
+	table := newTable("r1", 1)
+	p, _ := table.Choose(start, prompt(1))
+	calm := p.Wait
+	late := start.Add(calm + 2*time.Second)
+	q, _ := table.Choose(late, prompt(2))
+	assert.Assert(t, q.Wait > 2*time.Second, "a request that still waits: %s", q.Wait)
+	table.First(late, p)
+	table.Done(late, p, Served)
+	table.First(late, q)
+	table.Done(late, q, Served)
+	r, _ := table.Choose(late, prompt(3))
+	assert.Assert(t, r.Wait > calm+100*time.Millisecond, "a late first token: %s", r.Wait)
+	table.Done(late, r, Cancelled)
+	// Long after the late ones only the full slots count.
+	later := late.Add(lateMemory)
+	free := mustChoose(t, table, later).Wait
+	for range 64 {
+		table.First(later, mustChoose(t, table, later))
+	}
+	full := mustChoose(t, table, later)
+	assert.Assert(t, full.Wait > free, "a full server: %s, a free one: %s", full.Wait, free)
+}
+
+func mustChoose(t *testing.T, table *Table, now time.Time) *Place {
+	t.Helper()
+	p, ok := table.Choose(now, Ask{Service: pool, PromptTokens: 10, Prompt: []galenalatch.PromptPart{{ID: "x", Tokens: 10}}})
+	assert.Assert(t, ok)
+	return p
+}
+
+// Guards against requests to servers that must get none.
+func TestUnusableServers(t *testing.T) {
+	tests := []struct {
+		name string
+		make func(*Table)
+		at   time.Time
+		want bool
+	}{
+		{"ready", func(*Table) {}, start, true},
+		{"leaving", func(s *Table) { r := registration(0); r.Leaving = true; s.Put(start, r) }, start, false},
+		{"data centre out", func(s *Table) { s.SetOut(start, "a", true) }, start, false},
+		{"removed", func(s *Table) { s.Remove("s0", start) }, start, false},
+		{"removed later", func(s *Table) { s.Remove("s0", start.Add(time.Second)) }, start, true},
+		{"removed by then", func(s *Table) { s.Remove("s0", start.Add(time.Second)) }, start.Add(time.Second), false},
+		{"entry is back", func(s *Table) { s.Remove("s0", start.Add(time.Second)); s.Put(start, registration(0)) }, start.Add(time.Hour), true},
+		{"excluded", func(s *Table) { s.Put(start, registration(0)) }, start, true},
+		{"cold, not the owner", func(s *Table) { r := registration(0); r.ColdFor = time.Second; s.Put(start, r) }, start, false},
+		{"warm again", func(s *Table) { r := registration(0); r.ColdFor = time.Second; s.Put(start, r) }, start.Add(time.Second), true},
+		{"data centre back, cold", func(s *Table) { s.SetOut(start, "a", true); s.SetOut(start, "a", false) }, start, false},
+		{"data centre back, warm", func(s *Table) { s.SetOut(start, "a", true); s.SetOut(start, "a", false) }, start.Add(3 * time.Second), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := newTable("r1", 1)
+			tt.make(table)
+			_, ok := table.Choose(tt.at, prompt(1))
+			assert.Equal(t, ok, tt.want)
+		})
+	}
+	_, ok := newTable("r1", 1).Choose(start, Ask{Service: pool, Exclude: []galenalatch.ServerID{"s0"}})
+	assert.Assert(t, !ok)
+}
+
+// Guards against state of an earlier process under the same id.
+func TestServerStartsAgain(t *testing.T) {
+	table := newTable("r1", 1)
+	p, _ := table.Choose(start, prompt(1))
+	table.First(start, p)
+	r := registration(0)
+	r.Started = 5
+	table.Put(start, r)
+	assert.Equal(t, table.servers["s0"].running, 0)
+	assert.Equal(t, table.servers["s0"].cached(chain("m", prompt(1).Prompt), prompt(1).Prompt), 0)
+	// The end of the old exchange does not count for the new process.
+	table.Done(start, p, Broken)
+	assert.Equal(t, table.servers["s0"].running, 0)
+	assert.Equal(t, table.servers["s0"].failures, 0.0)
+}
+
+// Guards against more requests for a cold server in a second than it bears,
+// summed over all routers, also while their lists of routers differ.
+func TestColdServersAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 30).Draw(t, "routers")
+		var all []galenalatch.RouterID
+		for i := range count {
+			all = append(all, galenalatch.RouterID(fmt.Sprint("r", i)))
+		}
+		// Some routers lack the newest one in their list.
+		behind := rapid.IntRange(0, count-1).Draw(t, "behind")
+		var tables []*Table
+		for i, r := range all {
+			table := newTable(r, 1)
+			if i < behind {
+				table.SetMembers(all[:count-1])
+			} else {
+				table.SetMembers(all)
+			}
+			cold := registration(0)
+			cold.ColdFor = time.Minute
+			table.Put(start, cold)
+			tables = append(tables, table)
+		}
+		now := start
+		var sent []time.Time
+		for range rapid.IntRange(50, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+			table := tables[rapid.IntRange(0, count-1).Draw(t, "router")]
+			if p, ok := table.Choose(now, prompt(1)); ok {
+				sent = append(sent, now)
+				table.Done(now, p, Served)
+			}
+			n := 0
+			for _, at := range sent {
+				if now.Sub(at) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > 7.3*1.5+5 {
+				t.Fatalf("%d requests in a second", n)
+			}
+		}
+	})
+}
+
+// Guards against servers that cannot be reached and get every request.
+func TestUnreachedServersPause(t *testing.T) {
+	table := newTable("r1", 2)
+	p, _ := table.Choose(start, prompt(1))
+	table.Done(start, p, Unreached)
+	q, _ := table.Choose(start, prompt(1))
+	assert.Assert(t, q.Server != p.Server)
+	// Without another server the paused one is tried.
+	table.Done(start, q, Unreached)
+	_, ok := table.Choose(start, prompt(1))
+	assert.Assert(t, ok)
+	r, _ := table.Choose(start.Add(longestPause), prompt(1))
+	assert.Equal(t, r.Server, p.Server)
+}
--- /dev/null
+++ b/internal/fleet/members/members_test.go
@@ -0,0 +1,82 @@
+package members
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/standin/rows"
+)
+
+type silentEvents struct{}
+
+func (silentEvents) Lost(string, error)             {}
+func (silentEvents) Regained(string, time.Duration) {}
+
+// router is a member with the newest list that it was told.
+type router struct {
+	list   *List
+	mu     sync.Mutex
+	ids    []galenalatch.RouterID
+	token  string
+	cancel context.CancelFunc
+}
+
+func (r *router) changed(list []Member, token string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ids, r.token = nil, token
+	for _, m := range list {
+		r.ids = append(r.ids, m.ID)
+	}
+}
+
+func join(t *testing.T, s galenalatch.Store, id galenalatch.RouterID) *router {
+	t.Helper()
+	r := &router{}
+	r.list = New(Options{
+		Store: s, Events: silentEvents{}, Changed: r.changed,
+		Self: Member{ID: id, Address: "10.0.0.1:7400", DataCentre: "a", Start: string(id) + "-1"},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r.cancel = cancel
+	done := make(chan error, 1)
+	go func() { done <- r.list.Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.ErrorIs(t, <-done, context.Canceled) })
+	return r
+}
+
+// Guards against routers that do not know each other or disagree about the
+// token, also when writes take effect without an answer.
+func TestRoutersFindEachOther(t *testing.T) {
+	for _, fault := range []rows.Fault{rows.Sound, rows.Losing} {
+		synctest.Test(t, func(t *testing.T) {
+			store := rows.New()
+			store.SetFault(fault)
+			a, b := join(t, store, "r1"), join(t, store, "r2")
+			time.Sleep(5 * time.Second)
+			store.SetFault(rows.Sound)
+			time.Sleep(20 * time.Second)
+			for _, r := range []*router{a, b} {
+				assert.DeepEqual(t, r.ids, []galenalatch.RouterID{"r1", "r2"})
+			}
+			assert.Assert(t, a.token != "" && a.token == b.token)
+
+			assert.NilError(t, a.list.Leave(t.Context()))
+			time.Sleep(2 * time.Second)
+			assert.DeepEqual(t, b.ids, []galenalatch.RouterID{"r2"})
+
+			// A live router that was removed by mistake comes back.
+			assert.NilError(t, a.list.Remove(t.Context(), "r2"))
+			time.Sleep(5 * time.Second)
+			assert.DeepEqual(t, b.ids, []galenalatch.RouterID{"r2"})
+			a.cancel()
+			b.cancel()
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/relay/store_test.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/standin/rows"
+)
+
+const wait = 1500 * time.Millisecond
+
+// pair is a relaying and a listening router with one store.
+type pair struct {
+	store   *rows.Store
+	relay   *Store
+	listen  *Store
+	cut     bool
+	relayed int
+}
+
+func newPair() *pair {
+	p := &pair{store: rows.New()}
+	p.listen = New(Options{Store: p.store, Send: func(galenalatch.StoreAnswer) {}})
+	p.listen.SetMode(Listening)
+	p.relay = New(Options{Store: p.store, Send: func(m galenalatch.StoreAnswer) {
+		if !p.cut {
+			p.relayed++
+			p.listen.Deliver(m)
+		}
+	}})
+	p.relay.SetMode(Relaying)
+	return p
+}
+
+// loop follows the servers for the listening router until ctx ends.
+func (p *pair) loop(ctx context.Context) {
+	after := galenalatch.Everything
+	for ctx.Err() == nil {
+		if u, err := p.relay.Servers(ctx, after, wait); err == nil {
+			after = u.Version
+		}
+	}
+}
+
+// follow reads changes of servers with the listening router until one comes.
+func (p *pair) follow(t *testing.T, after uint64, limit time.Duration) (galenalatch.ServerUpdate, bool) {
+	t.Helper()
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		u, err := p.listen.Servers(t.Context(), after, wait)
+		assert.NilError(t, err)
+		if len(u.Present)+len(u.Gone) > 0 {
+			return u, true
+		}
+		after = u.Version
+	}
+	return galenalatch.ServerUpdate{}, false
+}
+
+// Guards against store calls that grow with the number of routers, and
+// against changes that are lost or late when the relaying router is cut off.
+func TestListening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.loop(ctx)
+		u, err := p.listen.Servers(t.Context(), galenalatch.Everything, wait)
+		assert.NilError(t, err)
+		after := u.Version
+		calls, since := p.store.Calls(), time.Now()
+		for range 5 {
+			u, err = p.listen.Servers(t.Context(), after, wait)
+			assert.NilError(t, err)
+			assert.Assert(t, u.Relayed, "an answer without changes is passed on too")
+		}
+		// One call for each wait of the relaying router, one that was under
+		// way, and its first listing.
+		own := int(time.Since(since)/relayWait) + 2
+		assert.Assert(t, p.store.Calls()-calls <= own, "%d calls; the relaying router makes %d", p.store.Calls()-calls, own)
+
+		p.store.Register(galenalatch.Registration{ID: "s1"})
+		u, ok := p.follow(t, after, time.Second)
+		assert.Assert(t, ok && u.Relayed && u.Present[0].ID == "s1")
+		after = u.Version
+
+		// A part is missed.
+		p.cut = true
+		p.store.Register(galenalatch.Registration{ID: "s2"})
+		time.Sleep(100 * time.Millisecond)
+		p.cut = false
+		p.store.Register(galenalatch.Registration{ID: "s3"})
+		u, ok = p.follow(t, after, time.Second)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(u.Present), 2)
+		assert.Assert(t, !u.Relayed)
+		after = u.Version
+
+		// The relaying router is cut off: changes are known in time.
+		p.cut = true
+		p.store.Unregister("s1")
+		begun := time.Now()
+		u, ok = p.follow(t, after, 3*time.Second)
+		assert.Assert(t, ok && u.Gone[0] == "s1")
+		assert.Assert(t, time.Since(begun) <= silence, "%s", time.Since(begun))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against old answers that are taken for new ones.
+func TestOldAnswersAreSkipped(t *testing.T) {
+	p := newPair()
+	p.listen.Deliver(galenalatch.StoreAnswer{Feed: servers, After: 1, Version: 4, Gone: []galenalatch.ServerID{"s1"}})
+	p.listen.Deliver(galenalatch.StoreAnswer{Feed: servers, After: 4, Version: 9})
+	u, err := p.listen.Servers(t.Context(), 8, wait)
+	assert.NilError(t, err)
+	assert.Equal(t, u.Version, uint64(9))
+	assert.Equal(t, len(u.Gone), 0)
+}
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -133,6 +133,10 @@
 	s.calls++
 	s.mu.Unlock()
 	for {
+		if s.silent() {
+			<-ctx.Done()
+			return nil, galenalatch.Position{}, ctx.Err()
+		}
 		changes, p, changed, err := s.look(feed, after)
 		if err != nil || after == galenalatch.Everything || len(changes) > 0 {
 			return changes, p, err
@@ -141,6 +145,10 @@
 		case <-ctx.Done():
 			return nil, p, ctx.Err()
 		case <-limit.C:
+			if s.silent() {
+				<-ctx.Done()
+				return nil, p, ctx.Err()
+			}
 			changes, p, _, err = s.look(feed, after)
 			return changes, p, err
 		case <-changed:
@@ -148,6 +156,13 @@
 	}
 }
 
+// silent reports whether the store does not answer.
+func (s *Store) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault == Silent
+}
+
 func (s *Store) look(feed string, after uint64) ([]change, galenalatch.Position, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,9 +170,6 @@
 	switch s.fault {
 	case Refusing:
 		return nil, p, nil, errDown
-	case Silent:
-		// A channel that is never closed: the caller's own limit ends the call.
-		return nil, p, make(chan struct{}), nil
 	case Forgetful:
 		if after != galenalatch.Everything {
 			s.fault = Sound
