Compare the clocks again when the first call of the store was slow

Change: while the bounds of the difference between the clocks are more than 100 ms apart, every other call does not wait. The wait of the operators' feed is three tenths of the time for removed keys.

--- a/internal/backend/exchange/client_test.go
+++ b/internal/backend/exchange/client_test.go
@@ -19,7 +19,7 @@
 
 func newClient(t *testing.T) (*Client, *worker.Server) {
 	t.Helper()
-	s, err := worker.New("s1")
+	s, err := worker.New("s1", worker.Own)
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, s.Close()) })
 	return New(Options{Dial: (&net.Dialer{}).DialContext, Headers: headers.Headers{}, DialTimeout: time.Second, MaxIdle: 2}), s
@@ -28,7 +28,7 @@
 func request(s *worker.Server, id string) *Request {
 	return &Request{
 		ID: "r-1", Server: s.ID, Address: s.Address(), Method: "POST", URI: "/a?b=%20c", Host: "a.example", Body: []byte("body"),
-		Header: http.Header{headers.Request: {id}},
+		Header: http.Header{headers.Request: {id}, headers.Server: {string(s.ID)}},
 	}
 }
 
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -110,7 +110,7 @@
 		Ledger:    share.New(4 * time.Second),
 	})
 	for _, id := range []galenalatch.ServerID{"s1", "s2"} {
-		s, err := worker.New(id)
+		s, err := worker.New(id, worker.Own)
 		assert.NilError(t, err)
 		t.Cleanup(func() { assert.NilError(t, s.Close()) })
 		f.servers = append(f.servers, s)
--- a/internal/decide/proof/tracker.go
+++ b/internal/decide/proof/tracker.go
@@ -10,10 +10,11 @@
 // are readings of one steady clock of the router that also counts while the
 // machine is suspended. The zero value has no proof.
 type Tracker struct {
-	// lowest is a lower bound of the router's clock minus the store's.
-	lowest time.Duration
-	known  bool
-	proven time.Duration
+	// lowest and highest bound the router's clock minus the store's.
+	lowest  time.Duration
+	highest time.Duration
+	known   bool
+	proven  time.Duration
 	// newest is the newest stamp of the store.
 	newest time.Duration
 }
@@ -25,9 +26,10 @@
 	// clocks is at least sent-stamp, and at most received-stamp.
 	if !t.known || received-stamp < t.lowest || stamp < t.newest-clockStep {
 		// The store's clock has started again: older bounds say nothing.
-		t.lowest, t.known, t.newest = sent-stamp, true, stamp
+		t.lowest, t.highest, t.known, t.newest = sent-stamp, received-stamp, true, stamp
 	}
 	t.lowest = max(t.lowest, sent-stamp)
+	t.highest = min(t.highest, received-stamp)
 	t.newest = max(t.newest, stamp)
 	t.proven = max(t.proven, min(stamp+t.lowest, received))
 }
@@ -45,6 +47,12 @@
 // other below which the store's clock has not started again.
 const clockStep = time.Second
 
+// Uncertainty returns by how much proofs may look older than they are. Short
+// calls reduce it.
+func (t *Tracker) Uncertainty() time.Duration {
+	return t.highest - t.lowest
+}
+
 // Age returns the age of the newest proof. It reports false without one.
 func (t *Tracker) Age(now time.Duration) (time.Duration, bool) {
 	return now - t.proven, t.known
--- a/internal/decide/proof/tracker_test.go
+++ b/internal/decide/proof/tracker_test.go
@@ -30,6 +30,16 @@
 	age, _ = k.Age(5300 * ms)
 	assert.Equal(t, age, 4992*ms)
 
+	// A first call that takes long leaves the difference of the clocks open,
+	// until a short one.
+	var late Tracker
+	late.Observe(0, 700*ms, 650*ms)
+	assert.Equal(t, late.Uncertainty(), 700*ms)
+	late.Observe(2000*ms, 2004*ms, 1952*ms)
+	assert.Equal(t, late.Uncertainty(), 2*ms)
+	age, _ = late.Age(2004 * ms)
+	assert.Equal(t, age, 4*ms)
+
 	k.Relayed(5400*ms, 6250*ms)
 	age, _ = k.Age(5400 * ms)
 	assert.Equal(t, age, 52*ms)
--- a/internal/fleet/relay/store.go
+++ b/internal/fleet/relay/store.go
@@ -129,9 +129,9 @@
 }
 
 // await returns the next relayed answer. It reports false when the router
-// should call the store itself.
+// should call the store itself, as for a call that is not to wait.
 func (s *Store) await(ctx context.Context, feed string, after uint64, wait time.Duration) (galenalatch.StoreAnswer, bool) {
-	if !s.is(Listening) || after == galenalatch.Everything {
+	if !s.is(Listening) || after == galenalatch.Everything || wait == 0 {
 		return galenalatch.StoreAnswer{}, false
 	}
 	limit := time.NewTimer(quiet(wait))
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -24,6 +24,8 @@
 const (
 	// callGap is the shortest time between two calls of a feed.
 	callGap = 150 * time.Millisecond
+	// maxUncertainty is how much older than they are proofs may look.
+	maxUncertainty = 100 * time.Millisecond
 	// returnTime is how long after the store's return the entries of live
 	// servers may still be missing.
 	returnTime = 2200 * time.Millisecond
@@ -63,6 +65,8 @@
 	mu      sync.Mutex
 	tracker proof.Tracker
 	out     map[galenalatch.DataCentre]bool
+	// short is set while a call is made to compare the clocks.
+	short bool
 	// trouble is when a call of the servers' feed failed last.
 	trouble time.Time
 }
@@ -98,6 +102,9 @@
 
 func (v *View) readOperators(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
 	sent := v.Clock()
+	if v.calibrate() {
+		wait = 0
+	}
 	u, err := v.Store.Operators(ctx, after, wait)
 	received := v.Clock()
 	if err := feed.Older(u.Position, seen, err); err != nil {
@@ -123,6 +130,15 @@
 	return u.Position, nil
 }
 
+// calibrate reports whether the next call should be a short one, because the
+// proofs look older than they are. Every other call stays a long one.
+func (v *View) calibrate() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.short = !v.short && v.tracker.Uncertainty() > maxUncertainty
+	return v.short
+}
+
 // apply replaces the configuration by a newer one.
 func (v *View) apply(c *galenalatch.Configuration, p galenalatch.Position) {
 	old := v.configuration.Load()
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -151,3 +151,34 @@
 		})
 	}
 }
+
+// Guards against a router that refuses keys for good because its first call
+// of the store took long.
+func TestSlowFirstCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		store := rows.New()
+		store.Configure(&galenalatch.Configuration{Version: 1})
+		first := true
+		clock := func() time.Duration {
+			if first {
+				// The process is suspended after it took the time of the call.
+				first = false
+				defer time.Sleep(time.Second)
+			}
+			return time.Since(start)
+		}
+		v := New(Options{
+			Store: store, Table: placement.New(placement.Options{}), Clock: clock, Events: &quiet{},
+			OperatorWait: 1500 * time.Millisecond, ServerWait: 2500 * time.Millisecond,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- v.Run(ctx) }()
+		time.Sleep(6 * time.Second)
+		age, ok := v.Age()
+		assert.Assert(t, ok && age <= 1600*time.Millisecond, "%s", age)
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -45,9 +45,10 @@
 	// collectorPercent lets the heap grow further before a collection, since
 	// processor time is scarcer than memory.
 	collectorPercent = 300
-	// operatorWait bounds the age of the proof of the configuration while
-	// nothing changes.
-	operatorWait = 1500 * time.Millisecond
+	// operatorWait is the share of the time within which removed keys end
+	// for which the store holds a call without a change. It bounds the age of
+	// the proof of the configuration.
+	operatorWait = 0.3
 	serverWait   = 2500 * time.Millisecond
 	// storeSilence and serverSilence bound the time after which a silent
 	// connection counts as broken.
@@ -133,7 +134,7 @@
 	})
 	g.view = view.New(view.Options{
 		Store: g.relay, Table: g.table, Clock: steady, Events: observe,
-		OperatorWait: operatorWait, ServerWait: serverWait,
+		OperatorWait: time.Duration(operatorWait * float64(s.KeyRemoval)), ServerWait: serverWait,
 	})
 	g.client = exchange.New(exchange.Options{
 		Dial: dial.Dialer{Silence: serverSilence}.DialContext, Headers: platform.Headers{},
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -43,6 +43,22 @@
 	Unsealed Behaviour = "unsealed"
 )
 
+// Names are the headers that a server reads and writes.
+type Names struct {
+	Request   string
+	LastEvent string
+	Seal      string
+	NotRun    string
+	// Expected names the server for which a request is meant. A server
+	// rejects requests for others.
+	Expected string
+}
+
+// Own are the names of the product's stand-ins.
+var Own = Names{
+	Request: headers.Request, LastEvent: headers.LastEvent, Seal: headers.Seal, NotRun: headers.NotRun, Expected: headers.Server,
+}
+
 // Server is one backend server on a loopback address.
 type Server struct {
 	ID galenalatch.ServerID
@@ -50,23 +66,39 @@
 	Events int
 	Gap    time.Duration
 
+	names     Names
 	listener  net.Listener
 	mu        sync.Mutex
 	behaviour Behaviour
 	runs      map[string]int
 	cancelled map[string]bool
 	seen      []http.Header
+	log       []Run
 	dials     int
 }
 
+// Run is one run of a request.
+type Run struct {
+	ID   string
+	Path string
+	At   time.Time
+}
+
+// Log returns all runs in order.
+func (s *Server) Log() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.log...)
+}
+
 // New returns a server that listens and answers.
-func New(id galenalatch.ServerID) (*Server, error) {
+func New(id galenalatch.ServerID, n Names) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("backend server: %w", err)
 	}
 	s := &Server{
-		ID: id, Events: 3, listener: l, behaviour: Answer,
+		ID: id, Events: 3, names: n, listener: l, behaviour: Answer,
 		runs: make(map[string]int), cancelled: make(map[string]bool),
 	}
 	go s.run()
@@ -147,22 +179,31 @@
 	if _, err := bufio.NewReader(r.Body).WriteTo(body); err != nil {
 		return false
 	}
-	id := r.Header.Get(headers.Request)
+	id := r.Header.Get(s.names.Request)
 	s.mu.Lock()
 	do := s.behaviour
+	if r.Header.Get(s.names.Expected) != string(s.ID) {
+		do = Shed
+	}
 	if do != Shed {
 		s.runs[id]++
+		s.log = append(s.log, Run{ID: id, Path: r.URL.Path, At: time.Now()})
 		s.seen = append(s.seen, r.Header.Clone())
 	}
 	s.mu.Unlock()
-	head := fmt.Sprintf("%s: %s\r\n%s: seal-of-%s\r\n", headers.Request, id, headers.Seal, s.ID)
-	text := "served by " + string(s.ID) + "\n"
+	head := fmt.Sprintf("%s: %s\r\n%s: seal-of-%s\r\n", s.names.Request, id, s.names.Seal, s.ID)
+	text := "served by " + string(s.ID) + " for " + id + "\n"
 	whole := func(status string, head, text string) string {
 		return "HTTP/1.1 " + status + "\r\n" + head + "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
 	}
+	streaming := strings.HasPrefix(r.URL.Path, "/stream/")
+	if streaming && (do == Foreign || do == Extra || do == Truncate) {
+		// These concern answers with a length.
+		do = Answer
+	}
 	switch do {
 	case Shed:
-		return s.write(c, whole("503 Service Unavailable", headers.Request+": "+id+"\r\n"+headers.NotRun+": 1\r\n", ""))
+		return s.write(c, whole("503 Service Unavailable", s.names.Request+": "+id+"\r\n"+s.names.NotRun+": 1\r\n", ""))
 	case Fail:
 		return s.write(c, whole("500 Internal Server Error", head, "failed\n"))
 	case Lose:
@@ -183,10 +224,10 @@
 	case Extra:
 		return s.write(c, whole("200 OK", head, text)+whole("200 OK", head, "again\n"))
 	case Unsealed:
-		return s.write(c, whole("200 OK", headers.Request+": "+id+"\r\n", text))
+		return s.write(c, whole("200 OK", s.names.Request+": "+id+"\r\n", text))
 	}
-	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		return s.stream(c, r, head, do == Torn && r.Header.Get(headers.LastEvent) == "")
+	if streaming {
+		return s.stream(c, r, head, do == Torn && r.Header.Get(s.names.LastEvent) == "")
 	}
 	return s.write(c, whole("200 OK", head, text))
 }
@@ -199,7 +240,7 @@
 // stream sends events after the one that the caller has.
 func (s *Server) stream(c net.Conn, r *http.Request, head string, torn bool) bool {
 	// Without a number the stream begins at its start.
-	last, _ := strconv.Atoi(r.Header.Get(headers.LastEvent))
+	last, _ := strconv.Atoi(r.Header.Get(s.names.LastEvent))
 	if !s.write(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
