--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -59,8 +59,12 @@
 	store    *standin.Store
 	gateways []*gatewayProcess
 	places   []*workerAddress
-	story    []string
-	errors   []string
+	// engine makes the servers model engines, aim is the time to the first
+	// token that callers were promised.
+	engine bool
+	aim    time.Duration
+	story  []string
+	errors []string
 
 	mu       sync.Mutex
 	all      []*worker.Server
@@ -268,8 +272,10 @@
 	f.version += 3
 	c := &galenalatch.Configuration{
 		Version: f.version, Keys: make(map[string]galenalatch.Owner),
-		Services: map[string]galenalatch.Service{soakService: {Name: soakService, ColdTime: time.Second, ColdRate: soakColdRate}},
-		Limits:   galenalatch.CallerLimits{BodyBytes: 1 << 20},
+		Services: map[string]galenalatch.Service{
+			soakService: {Name: soakService, ColdTime: time.Second, ColdRate: soakColdRate, Engine: f.engine},
+		},
+		Limits: galenalatch.CallerLimits{BodyBytes: 1 << 20},
 	}
 	for _, k := range f.keys {
 		c.Keys[k] = galenalatch.Owner{Workspace: "studio"}
@@ -282,7 +288,7 @@
 		{Name: "stream", Prefix: "/stream/", Kind: galenalatch.StreamWork, Public: true, Resumable: true},
 		{Name: "keyed", Prefix: "/keyed/", Kind: galenalatch.IdempotentWork},
 	} {
-		r.Host, r.Targets, r.MaxAttempts, r.Timeout = soakHost, target, 3, 3*time.Second
+		r.Host, r.Targets, r.MaxAttempts, r.Timeout, r.Aim = soakHost, target, 3, 3*time.Second, f.aim
 		c.Routes = append(c.Routes, r)
 	}
 	assert.NilError(f.t, f.store.Configure(c))
