--- a/internal/operator/api/handler.go
+++ b/internal/operator/api/handler.go
@@ -89,7 +89,7 @@
 	h.handle("POST "+message.DataCentres+"{name}/{way}", h.dataCentre)
 	h.handle("POST "+message.Servers+"{name}/{way}", h.server)
 	h.handle("/", func(_ http.ResponseWriter, r *http.Request) (any, error) {
-		return nil, galenalatch.KindNotFound.Errorf("%.8s %.80q is not served; see docs/operations.md for the operators' API", r.Method, r.URL.Path)
+		return nil, galenalatch.KindNotFound.Errorf("%.8s %.80q is not served; see docs/OPERATIONS.md for the operators' API", r.Method, r.URL.Path)
 	})
 	return h
 }
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -104,7 +104,7 @@
 		"Check that the address belongs to the instance and that no other process uses the port."},
 	RequestEnded: {log.DebugLevel, "request ended", "A request was answered.", none},
 	RequestRefused: {log.DebugLevel, "request refused",
-		"A request was not run; `error` begins with the kind.", "When there are many, act on the kind: see `operations.md`."},
+		"A request was not run; `error` begins with the kind.", "When there are many, act on the kind: see `OPERATIONS.md`."},
 	StreamBroken: {log.WarnLevel, "stream broken",
 		"A backend server broke off a stream and it could not be resumed. The caller got an error event.",
 		"When one server stands out, take it out of service."},
