Choose a server without adding up all routers

Cause: a choice between 90 servers added up the loads of 90 routers for each of them and made a place for each: 529 us.

Change: sums of the other routers' loads follow their messages; the ledger keeps its sums for 50 ms; a place is made for the chosen server only.

--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -120,12 +120,24 @@
 	assert.NilError(f.t, os.WriteFile(g.settings, []byte(s.String()), 0o600))
 }
 
+// firstPort and ports are a range below that of outgoing connections: a port
+// of that range may be taken between its choice and its use.
+const (
+	firstPort = 15000
+	portCount = 15000
+)
+
 // freeAddress returns a loopback address that no one listens on.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, l.Close()) }()
-	return l.Addr().String()
+	for {
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return address
+	}
 }
 
 func (f *soakFleet) start(g *gatewayProcess) {
@@ -156,7 +168,8 @@
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
-	f.t.Fatalf("%s does not listen", g.id)
+	log, err := os.ReadFile(filepath.Join(f.dir, g.id+".log"))
+	f.t.Fatalf("%s does not listen: %v\n%s", g.id, err, log[max(len(log)-2000, 0):])
 }
 
 func (f *soakFleet) signal(g *gatewayProcess, s syscall.Signal) {
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -84,7 +84,8 @@
 	defer t.mu.Unlock()
 	engine := t.settings[a.Service].Engine
 	keys := chain(a.Model, a.Prompt)
-	best, bestScore := (*Place)(nil), time.Duration(0)
+	var best *server
+	var bestQuote quote
 	home := t.home(now, a.Service, keys)
 	for _, paused := range []bool{false, true} {
 		for _, s := range t.services[a.Service] {
@@ -95,10 +96,10 @@
 			if cold && !t.coldPermit(now, s) {
 				continue
 			}
-			p, score := t.price(now, s, a, keys, engine, s == home)
-			p.Cold = cold
-			if best == nil || score < bestScore {
-				best, bestScore = p, score
+			q := t.price(now, s, a, keys, engine, s == home)
+			q.cold = cold
+			if best == nil || q.score < bestQuote.score {
+				best, bestQuote = s, q
 			}
 		}
 		if best != nil {
@@ -108,8 +109,24 @@
 	if best == nil {
 		return nil, false
 	}
-	t.reserve(now, best)
-	return best, true
+	p := &Place{
+		Server: best.ID, Address: best.Address, DataCentre: best.DataCentre, server: best,
+		Wait: bestQuote.wait, Cached: bestQuote.cached, Cold: bestQuote.cold,
+		cost: bestQuote.cost, keys: keys, parts: a.Prompt,
+	}
+	t.reserve(now, p)
+	return p, true
+}
+
+// quote is the prediction for one server.
+type quote struct {
+	// wait is the time to the first token, cost the part of it for reading.
+	wait   time.Duration
+	cost   time.Duration
+	cached int
+	cold   bool
+	// score is what the place costs the fleet, as a time.
+	score time.Duration
 }
 
 // home returns the server that all routers prefer for a prompt.
@@ -130,59 +147,63 @@
 
 // price predicts the time to the first token at a server and its cost for
 // the fleet.
-func (t *Table) price(now time.Time, s *server, a Ask, keys []uint64, engine, home bool) (*Place, time.Duration) {
-	p := &Place{Server: s.ID, Address: s.Address, DataCentre: s.DataCentre, server: s, keys: keys, parts: a.Prompt}
-	remote := t.elsewhere(now, s.key())
-	var score time.Duration
+func (t *Table) price(now time.Time, s *server, a Ask, keys []uint64, engine, home bool) quote {
+	var q quote
+	remote := t.elsewhere[s.key()]
+	busy := s.running + remote.Running
 	if engine {
-		total := a.PromptTokens
-		for _, part := range a.Prompt {
-			total = max(total, part.Tokens)
-		}
-		p.Cached = s.cached(keys, a.Prompt)
+		total := a.size()
+		q.cached = s.cached(keys, a.Prompt)
 		if home && len(a.Prompt) > 1 {
 			// Other routers send the shared parts there too.
-			shared := 0
-			for _, part := range a.Prompt[:len(a.Prompt)-1] {
-				shared += part.Tokens
-			}
-			p.Cached = max(p.Cached, shared)
+			q.cached = max(q.cached, shared(a.Prompt))
 		}
-		p.Cached = min(p.Cached, total)
-		fresh := total - p.Cached
-		p.cost = time.Duration(float64(fresh)/t.ReadRate*float64(time.Millisecond)) +
-			time.Duration(float64(fresh)*(float64(total)-float64(fresh)/2)/1e6*float64(pairTime))
-		p.Wait = s.backlog(now) + remote.Reading + p.cost + t.FirstToken + s.delay(now) + s.full(s.running+remote.Running)
-		score = p.Wait + time.Duration((rereadWeight-1)*float64(p.cost))
+		q.cached = min(q.cached, total)
+		q.cost = t.reading(total, total-q.cached)
+		q.wait = s.backlog(now) + remote.Reading + q.cost + t.FirstToken + s.delay(now) + s.full(busy)
+		q.score = q.wait + time.Duration((rereadWeight-1)*float64(q.cost))
 	} else {
-		p.cost = plainCost
-		busy := s.running + remote.Running
-		p.Wait = plainCost * time.Duration(1+max(busy+1-s.Slots, 0)/s.Slots)
-		score = plainCost * time.Duration(busy+1) / time.Duration(s.Slots)
+		q.cost = plainCost
+		q.wait = plainCost * time.Duration(1+max(busy+1-s.Slots, 0)/s.Slots)
+		q.score = plainCost * time.Duration(busy+1) / time.Duration(s.Slots)
 		if busy >= s.Slots {
-			score *= 2
+			q.score *= 2
 		}
 	}
 	if s.DataCentre != t.Local {
-		score += farCost
+		q.score += farCost
 	}
 	if a.HasIdle != nil && !a.HasIdle(s.ID) {
-		score += dialCost
+		q.score += dialCost
 	}
-	return p, score + time.Duration(s.failures*s.failures*float64(failureCost))
+	q.score += time.Duration(s.failures * s.failures * float64(failureCost))
+	return q
 }
 
-// elsewhere returns what the other routers have under way at a server.
-func (t *Table) elsewhere(now time.Time, key uint32) Load {
-	var sum Load
-	for _, r := range t.remote {
-		if age := now.Sub(r.at); age < maxRemoteAge {
-			l := r.loads[key]
-			sum.Running += l.Running
-			sum.Reading += max(l.Reading-age, 0)
-		}
+// size is the number of tokens of the prompt.
+func (a Ask) size() int {
+	total := a.PromptTokens
+	for _, part := range a.Prompt {
+		total = max(total, part.Tokens)
+	}
+	return total
+}
+
+// shared is the number of tokens of all parts but the last, which belongs to
+// the request itself.
+func shared(parts []galenalatch.PromptPart) int {
+	tokens := 0
+	for _, part := range parts[:len(parts)-1] {
+		tokens += part.Tokens
 	}
-	return sum
+	return tokens
+}
+
+// reading is the time to read fresh tokens at the end of a prompt. It grows
+// with the length of the prompt, since each token attends to all before it.
+func (t *Table) reading(total, fresh int) time.Duration {
+	pairs := float64(fresh) * (float64(total) - float64(fresh)/2)
+	return time.Duration(float64(fresh)/t.ReadRate*float64(time.Millisecond)) + time.Duration(pairs/1e6*float64(pairTime))
 }
 
 // coldPermit reports whether this router may send one more request to a cold
--- a/internal/decide/placement/progress.go
+++ b/internal/decide/placement/progress.go
@@ -121,12 +121,31 @@
 func (t *Table) SetRemote(now time.Time, r galenalatch.RouterID, loads map[uint32]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remote[r] = remoteLoad{at: now, loads: loads}
+	t.setRemote(r, remoteLoad{at: now, loads: loads})
 }
 
-// Forget drops what another router had under way.
-func (t *Table) Forget(r galenalatch.RouterID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.remote, r)
+// setRemote replaces the load of a router, and forgets it when there is none.
+// The sums follow, so that a choice does not add up all routers.
+func (t *Table) setRemote(r galenalatch.RouterID, l remoteLoad) {
+	for k, old := range t.remote[r].loads {
+		sum := t.elsewhere[k]
+		sum.Running -= old.Running
+		sum.Reading -= old.Reading
+		if sum == (Load{}) {
+			delete(t.elsewhere, k)
+			continue
+		}
+		t.elsewhere[k] = sum
+	}
+	if l.loads == nil {
+		delete(t.remote, r)
+		return
+	}
+	t.remote[r] = l
+	for k, fresh := range l.loads {
+		sum := t.elsewhere[k]
+		sum.Running += fresh.Running
+		sum.Reading += fresh.Reading
+		t.elsewhere[k] = sum
+	}
 }
--- a/internal/decide/placement/table.go
+++ b/internal/decide/placement/table.go
@@ -45,17 +45,20 @@
 	out      map[galenalatch.DataCentre]bool
 	members  []galenalatch.RouterID
 	remote   map[galenalatch.RouterID]remoteLoad
+	// elsewhere is the sum of the other routers' loads by server.
+	elsewhere map[uint32]Load
 }
 
 // New returns a table without servers.
 func New(o Options) *Table {
 	return &Table{
-		Options:  o,
-		servers:  make(map[galenalatch.ServerID]*server),
-		services: make(map[string][]*server),
-		settings: make(map[string]galenalatch.Service),
-		out:      make(map[galenalatch.DataCentre]bool),
-		remote:   make(map[galenalatch.RouterID]remoteLoad),
+		Options:   o,
+		servers:   make(map[galenalatch.ServerID]*server),
+		services:  make(map[string][]*server),
+		settings:  make(map[string]galenalatch.Service),
+		out:       make(map[galenalatch.DataCentre]bool),
+		remote:    make(map[galenalatch.RouterID]remoteLoad),
+		elsewhere: make(map[uint32]Load),
 	}
 }
 
@@ -123,10 +126,16 @@
 	}
 }
 
-// Expire drops the servers whose removal is due and returns their ids.
+// Expire drops the servers whose removal is due, and the loads of routers that
+// were not heard for a time. It returns the ids of the servers.
 func (t *Table) Expire(now time.Time) []galenalatch.ServerID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for r, l := range t.remote {
+		if now.Sub(l.at) >= maxRemoteAge {
+			t.setRemote(r, remoteLoad{})
+		}
+	}
 	var gone []galenalatch.ServerID
 	for id, s := range t.servers {
 		if s.removed(now) {
--- a/internal/decide/placement/table_test.go
+++ b/internal/decide/placement/table_test.go
@@ -71,8 +71,14 @@
 	table.SetRemote(start, "r2", map[uint32]Load{first.server.key(): {Running: 5, Reading: 2 * time.Second}})
 	p, _ := table.Choose(start, prompt(1))
 	assert.Assert(t, p.Server != first.Server)
+	table.Done(start, p, Served)
+	// Each message replaces the one before.
+	table.SetRemote(start, "r2", map[uint32]Load{first.server.key(): {Running: 1, Reading: time.Second}})
+	assert.DeepEqual(t, table.elsewhere, map[uint32]Load{first.server.key(): {Running: 1, Reading: time.Second}})
 	// A router that is not heard any more does not count.
 	later := start.Add(maxRemoteAge)
+	table.Expire(later)
+	assert.Equal(t, len(table.elsewhere), 0)
 	p, _ = table.Choose(later, prompt(2))
 	table.Done(later, p, Served)
 	p, _ = table.Choose(later, prompt(1))
@@ -237,3 +243,26 @@
 	p, _ = newTable("r1", 12).Choose(start, large)
 	assert.Equal(t, p.Server, want.Server)
 }
+
+// Measures a choice between the servers of a large fleet.
+func BenchmarkChoose(b *testing.B) {
+	table := newTable("r1", 90)
+	for i := range 90 {
+		loads := make(map[uint32]Load)
+		for _, s := range table.servers {
+			loads[s.key()] = Load{Running: 1, Reading: 10 * time.Millisecond}
+		}
+		table.SetRemote(start, galenalatch.RouterID(fmt.Sprint("p", i)), loads)
+	}
+	now := start
+	for i := range b.N {
+		// 200 requests a second.
+		now = now.Add(5 * time.Millisecond)
+		p, ok := table.Choose(now, prompt(i%60))
+		if !ok {
+			b.Fatal("no server")
+		}
+		table.First(now, p)
+		table.Done(now, p, Served)
+	}
+}
--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -43,6 +43,8 @@
 	mu       sync.Mutex
 	accounts map[uint32]*account
 	remote   map[galenalatch.RouterID]remoteUse
+	// sums are the uses on all routers at levelAt, with own ones since.
+	sums     map[uint32]Use
 	level    float64
 	levelAt  time.Time
 	levelFor float64
@@ -75,6 +77,10 @@
 	l.advance(a, now)
 	a.use[a.at%slots].Asked += u.Asked
 	a.use[a.at%slots].Begun += u.Begun
+	if l.sums != nil {
+		sum := l.sums[Key(w)]
+		l.sums[Key(w)] = Use{Asked: sum.Asked + u.Asked, Begun: sum.Begun + u.Begun}
+	}
 }
 
 // advance drops what has left the window.
@@ -150,14 +156,14 @@
 func (l *Ledger) Fraction(now time.Time, w galenalatch.WorkspaceName, rate float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	uses := l.fleet(now)
-	if l.levelFor != rate || now.Sub(l.levelAt) > levelTime {
-		l.level, l.levelAt, l.levelFor = Level(uses, rate*l.window.Seconds()), now, rate
+	if l.sums == nil || l.levelFor != rate || now.Sub(l.levelAt) >= levelTime {
+		l.sums = l.fleet(now)
+		l.level, l.levelAt, l.levelFor = Level(l.sums, rate*l.window.Seconds()), now, rate
 	}
 	if l.level <= 0 {
 		return 0
 	}
-	return uses[Key(w)].Begun / l.level
+	return l.sums[Key(w)].Begun / l.level
 }
 
 // Level returns the amount up to which every workspace gets what it asks
