Spend less on log lines and messages between routers

Cause: a log line took 88 us beside load, half of it for the check of its keys for secrets, at two lines a request; a message to 90 routers was encoded 90 times.

Change: the judgement of a key is kept; a broadcast encodes once.

Measured: BenchmarkLogLine 20 us instead of 88 us, both beside load.

--- a/internal/peer/link/mesh.go
+++ b/internal/peer/link/mesh.go
@@ -265,6 +265,23 @@
 	return queued
 }
 
+// Broadcast queues a message for several routers, which it encodes once. It
+// drops the message where Send would report false.
+func (m *Mesh) Broadcast(to []galenalatch.RouterID, message galenalatch.Message) {
+	b, err := m.codec.Encode(message)
+	for _, r := range to {
+		if err != nil {
+			m.Failed(r, err)
+			continue
+		}
+		if p, ok := m.find(r); ok {
+			if _, full := p.push(b); full {
+				m.Full(r)
+			}
+		}
+	}
+}
+
 // Traffic describes the connection with one peer.
 type Traffic struct {
 	// In and Out are the bytes on the connections with the peer since the
--- a/internal/peer/use/exchange.go
+++ b/internal/peer/use/exchange.go
@@ -182,9 +182,7 @@
 	e.mu.Lock()
 	peers, mesh := e.peers, e.mesh
 	e.mu.Unlock()
-	for _, p := range peers {
-		mesh.Send(p, m)
-	}
+	mesh.Broadcast(peers, m)
 }
 
 // Pass passes an answer of the store on to the routers of the data centre.
@@ -192,8 +190,8 @@
 	e.mu.Lock()
 	near, mesh := e.near, e.mesh
 	e.mu.Unlock()
-	for _, p := range near {
-		mesh.Send(p, a)
+	if mesh != nil {
+		mesh.Broadcast(near, a)
 	}
 }
 
--- a/internal/telemetry/events/log.go
+++ b/internal/telemetry/events/log.go
@@ -75,6 +75,21 @@
 // secrets are keys whose values are never logged.
 var secrets = []string{"authorization", "token", "secret", "password", "bearer", "cookie", "apikey", "idempotencykey"}
 
+// judged keeps the result for each key. Keys are words of the program, so
+// there are few.
+var judged sync.Map
+
+// isSecret reports whether the value of a key is never logged.
+func isSecret(key string) bool {
+	if secret, ok := judged.Load(key); ok {
+		return secret == true
+	}
+	k := strings.ToLower(strings.NewReplacer("-", "", "_", "", ".", "").Replace(key))
+	secret := slices.ContainsFunc(secrets, func(s string) bool { return strings.Contains(k, s) })
+	judged.Store(key, secret)
+	return secret
+}
+
 // safe returns the pairs without secrets. Values are shortened, since some
 // come from callers.
 func safe(pairs []any) []any {
@@ -83,8 +98,7 @@
 		pairs = append(pairs, "missing")
 	}
 	for i := 0; i+1 < len(pairs); i += 2 {
-		k := strings.ToLower(strings.NewReplacer("-", "", "_", "", ".", "").Replace(fmt.Sprint(pairs[i])))
-		if slices.ContainsFunc(secrets, func(s string) bool { return strings.Contains(k, s) }) {
+		if k, ok := pairs[i].(string); !ok || isSecret(k) {
 			pairs[i+1] = "redacted"
 			continue
 		}
@@ -96,6 +110,12 @@
 // scalar returns a value that can be logged. Maps, structs and lists are not
 // logged: a header or a request in a log line would carry secrets.
 func scalar(v any) any {
+	switch x := v.(type) {
+	case string:
+		return clip(x)
+	case int, uint64, bool:
+		return v
+	}
 	r := reflect.ValueOf(v)
 	if !r.IsValid() || r.Kind() == reflect.Pointer && r.IsNil() {
 		return "none"
