Ask for SIGHUP before anything else

SIGHUP reached a gateway that had just started and did not ask for the signal yet, which ended the process.

Change: the command asks for the signal first.

--- a/internal/process/command/gateway.go
+++ b/internal/process/command/gateway.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"golang.org/x/sync/errgroup"
 
@@ -20,6 +22,10 @@
 // gateway runs a gateway until the process is told to stop. Its log is
 // written to standard output by another goroutine.
 func (c *Commands) gateway(ctx context.Context) error {
+	// SIGHUP ends a process that does not ask for it. It may come at once.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	if c.path == "" {
 		return fmt.Errorf("no settings file: give --settings or set %s", settingsVariable)
 	}
@@ -32,7 +38,7 @@
 		return err
 	}
 	lines := sink.New(os.Stdout)
-	g, err := gateway.New(c.path, lines)
+	g, err := gateway.New(c.path, lines, reload)
 	if err != nil {
 		return err
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -10,10 +10,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -87,6 +85,7 @@
 type Gateway struct {
 	settings gateway.Settings
 	path     string
+	again    <-chan os.Signal
 	log      *events.Log
 	lines    *sink.Writer
 	count    *counters
@@ -108,8 +107,9 @@
 	wasReady atomic.Bool
 }
 
-// New returns a gateway with the settings in a file. Its log goes to out.
-func New(path string, out *sink.Writer) (*Gateway, error) {
+// New returns a gateway with the settings in a file. Its log goes to out. It
+// reads the file again for each signal from reload.
+func New(path string, out *sink.Writer, reload <-chan os.Signal) (*Gateway, error) {
 	s, err := gateway.Load(path)
 	if err != nil {
 		return nil, err
@@ -120,6 +120,7 @@
 	}
 	g := &Gateway{
 		settings: s, path: path, log: log.With("router", s.ID), lines: out,
+		again:  reload,
 		ledger: share.New(shareWindow), policy: admission.Default(),
 	}
 	g.count = newCounters(out.Dropped)
@@ -331,14 +332,11 @@
 // process stay as they are, since all of them describe the instance; the log
 // tells whether the file is valid for the next start.
 func (g *Gateway) reload(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
-		case <-hup:
+		case <-g.again:
 			_, err := gateway.Load(g.path)
 			g.log.Event(events.SettingsReloaded, "error", err)
 		}
