Read relayed answers of the store at once

Cause: a listening router waited 150 ms after each relayed answer as after a call.

Change: only own calls have a pause between them.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -38,7 +38,8 @@
 	Failed func(now time.Time)
 	Events Events
 	// Gap is the shortest time between two calls. Changes that come together
-	// share a call.
+	// share a call. Answers that another router has passed on cost no call
+	// and are read at once, so that they cannot pile up.
 	Gap time.Duration
 
 	after uint64
@@ -52,20 +53,24 @@
 	f.after = galenalatch.Everything
 	for ctx.Err() == nil {
 		begun := time.Now()
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		relayed, err := f.step(ctx)
+		if err != nil && ctx.Err() == nil {
 			f.retry(ctx, err)
 		}
-		f.sleep(ctx, f.Gap-time.Since(begun))
+		if !relayed {
+			f.sleep(ctx, f.Gap-time.Since(begun))
+		}
 	}
 	return context.Cause(ctx)
 }
 
-func (f *Feed) step(ctx context.Context) error {
+// step makes one call. It reports whether the answer was relayed.
+func (f *Feed) step(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+AnswerTime)
 	defer cancel()
 	p, err := f.Read(ctx, f.after, f.seen, f.Wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.after, f.seen = p.Version, p.Version
 	if !f.lost.IsZero() {
@@ -73,7 +78,7 @@
 		f.lost = time.Time{}
 	}
 	f.pause = 0
-	return nil
+	return p.Relayed, nil
 }
 
 // Older returns err, or an error when the position is before a version that
--- /dev/null
+++ b/internal/fleet/feed/feed_test.go
@@ -0,0 +1,83 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+type noEvents struct{}
+
+func (noEvents) Lost(string, error)             {}
+func (noEvents) Regained(string, time.Duration) {}
+
+// follow runs a feed for a time and returns the versions after which it read.
+func follow(t *testing.T, f *Feed, d time.Duration) (after []uint64) {
+	t.Helper()
+	read := f.Read
+	f.Read = func(ctx context.Context, a, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+		after = append(after, a)
+		return read(ctx, a, seen, wait)
+	}
+	f.Events = noEvents{}
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	assert.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+	return after
+}
+
+// Guards against relayed answers that pile up behind the pause between calls:
+// a leaving server was known 4 s late.
+func TestRelayedAnswersDoNotPileUp(t *testing.T) {
+	for _, relayed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			version := uint64(0)
+			read := follow(t, &Feed{Gap: 150 * time.Millisecond, Read: func(ctx context.Context, _, _ uint64, wait time.Duration) (galenalatch.Position, error) {
+				if version < 20 {
+					version++
+				} else {
+					time.Sleep(time.Second)
+				}
+				return galenalatch.Position{Version: version, Relayed: relayed}, nil
+			}}, 500*time.Millisecond)
+			if relayed {
+				assert.Assert(t, len(read) > 20, "%d answers", len(read))
+			} else {
+				assert.Assert(t, len(read) <= 5, "%d calls", len(read))
+			}
+		})
+	}
+}
+
+// Guards against a feed that goes on after a part of the history is gone, and
+// against calls without a pause while the store is away.
+func TestErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		read := follow(t, &Feed{Read: func(context.Context, uint64, uint64, time.Duration) (galenalatch.Position, error) {
+			calls++
+			switch calls {
+			case 2:
+				return galenalatch.Position{}, galenalatch.ErrHistoryGone
+			case 4:
+				time.Sleep(time.Minute)
+			}
+			return galenalatch.Position{Version: 7}, nil
+		}}, time.Minute)
+		assert.DeepEqual(t, read, []uint64{galenalatch.Everything, 7, galenalatch.Everything, 7})
+	})
+	synctest.Test(t, func(t *testing.T) {
+		read := follow(t, &Feed{Read: func(context.Context, uint64, uint64, time.Duration) (galenalatch.Position, error) {
+			return galenalatch.Position{}, errors.New("down")
+		}}, 10*time.Second)
+		assert.Assert(t, len(read) < 40, "%d calls in 10 s", len(read))
+	})
+	assert.ErrorContains(t, Older(galenalatch.Position{Version: 6}, 7, nil), "after version 7")
+	assert.NilError(t, Older(galenalatch.Position{Version: 7}, 7, nil))
+}
