Keep connections whose request was written beside its answer

Cause: TestConnectionsAreUsedAgain failed once with 3 connections instead of 1. The answer was read before the goroutine that wrote the request had reported its end, so that the connection was dropped.

Change: the end of an exchange waits up to 20 ms for the end of the request. Fields of answers and demands that nothing read are gone, with the reports of load that no decision used.

--- a/configuration.go
+++ b/configuration.go
@@ -1,7 +1,6 @@
 package galenalatch
 
 import (
-	"slices"
 	"strings"
 	"time"
 )
@@ -58,11 +57,6 @@
 	return r.Kind == IdempotentWork || r.Kind == StreamWork && r.Resumable
 }
 
-// Serves reports whether the route sends requests to the service.
-func (r *HostRoute) Serves(service string) bool {
-	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
-}
-
 // Service is a pool of backend servers that serve the same work.
 type Service struct {
 	Name       string
--- a/exchange.go
+++ b/exchange.go
@@ -37,13 +37,6 @@
 	LastEvent string
 }
 
-// ServerLoad is the load that a backend server reports with an answer.
-type ServerLoad struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // AnswerHead is what the headers of a backend server's answer say.
 type AnswerHead struct {
 	// ID is the request to which the answer belongs.
@@ -52,11 +45,6 @@
 	Sealed bool
 	// NotRun says that the server did not run the request and never will.
 	NotRun bool
-	// Load is valid when HasLoad is set.
-	Load    ServerLoad
-	HasLoad bool
-	// ColdFor is how long the server stays cold.
-	ColdFor time.Duration
 	// KeepAlive is how long the server keeps the connection open when it is
 	// idle; 0 means that it did not say.
 	KeepAlive time.Duration
--- a/internal/backend/exchange/client.go
+++ b/internal/backend/exchange/client.go
@@ -34,6 +34,9 @@
 	// idleMargin is how long before the server's own timeout an idle
 	// connection is dropped.
 	idleMargin = 500 * time.Millisecond
+	// writeEnd is how long the end of an exchange waits for the end of the
+	// request.
+	writeEnd = 20 * time.Millisecond
 	// defaultIdle is used for servers that do not announce a timeout.
 	defaultIdle = 4 * time.Second
 )
@@ -187,13 +190,8 @@
 		return
 	}
 	a.ended = true
+	err := a.whole()
 	stopped := a.stop()
-	var err error
-	select {
-	case err = <-a.written:
-	default:
-		err = errors.New("the request is still being written")
-	}
 	k := a.connection
 	if !stopped || err != nil || a.response.Close || a.Unframed() || k.dirty || k.reader.Buffered() > 0 {
 		k.abort()
@@ -203,6 +201,24 @@
 	a.client.put(a.request.Server, k)
 }
 
+// whole waits a moment for the end of the request, since an answer can be read
+// before the goroutine that wrote the request has had a turn.
+func (a *Answer) whole() error {
+	select {
+	case err := <-a.written:
+		return err
+	default:
+	}
+	limit := time.NewTimer(writeEnd)
+	defer limit.Stop()
+	select {
+	case err := <-a.written:
+		return err
+	case <-limit.C:
+		return errors.New("the server answered before it had read the request")
+	}
+}
+
 // Abort ends the exchange and its connection; a server that still runs the
 // request stops.
 func (a *Answer) Abort() {
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -49,13 +49,8 @@
 
 // Demand is what a request asks of the fleet.
 type Demand struct {
-	Request   galenalatch.RequestID
 	Workspace galenalatch.WorkspaceName
-	Service   string
 	Route     *galenalatch.HostRoute
-	// Tokens is the size of the request: tokens of the prompt, and twice
-	// those of the answer.
-	Tokens float64
 	// TokenRate is the throughput of all engines in tokens a second.
 	TokenRate float64
 	// Waited is the time since the request arrived.
--- a/internal/caller/host/task.go
+++ b/internal/caller/host/task.go
@@ -101,8 +101,7 @@
 	}
 	t.decision.Server, t.decision.Wait, t.decision.Cached, t.decision.Cold = p.Server, p.Wait, p.Cached, p.Cold
 	demand := Demand{
-		Request: t.call.ID, Workspace: t.decision.Workspace, Service: t.decision.Service, Route: t.route,
-		Tokens: t.tokens(), TokenRate: t.configuration.Limits.TokenRate, Waited: t.decision.Waited,
+		Workspace: t.decision.Workspace, Route: t.route, TokenRate: t.configuration.Limits.TokenRate, Waited: t.decision.Waited,
 	}
 	if len(t.tried) == 0 && !t.h.Admit(now, demand, p.Wait) {
 		t.h.Table.Done(now, p, placement.Cancelled)
@@ -195,9 +194,6 @@
 		t.mayRun = true
 		return nil, err
 	}
-	if a.Head.HasLoad {
-		t.h.Table.Reported(time.Now(), p.Server, a.Head.Load)
-	}
 	if !a.Head.NotRun {
 		t.mayRun = true
 	}
@@ -213,7 +209,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if reply.RetryAfter > 0 {
-		t.h.Headers.RetryAfter(t.w.Header(), t.comeBack())
+		t.h.Headers.RetryAfter(t.w.Header(), retrySoon)
 	}
 	t.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	text := string(kind) + "\n"
@@ -223,10 +219,6 @@
 	_, _ = t.w.Write([]byte(text))
 }
 
-func (t *task) comeBack() time.Duration {
-	return retrySoon
-}
-
 // finish gives the final answer after the last attempt failed.
 func (t *task) finish(ctx context.Context, err error) {
 	switch {
--- a/internal/decide/placement/progress.go
+++ b/internal/decide/placement/progress.go
@@ -94,15 +94,6 @@
 // shedPause is the time for which a full server gets no new requests.
 const shedPause = 50 * time.Millisecond
 
-// Reported records the load that a server sent with an answer.
-func (t *Table) Reported(now time.Time, id galenalatch.ServerID, l galenalatch.ServerLoad) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.servers[id]; ok {
-		s.load, s.loadAt = l, now
-	}
-}
-
 // Own returns what this router has under way, by short names of servers and
 // without idle ones.
 func (t *Table) Own(now time.Time) map[uint32]Load {
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -52,8 +52,6 @@
 	failures float64
 	pause    time.Duration
 	pausedTo time.Time
-	load     galenalatch.ServerLoad
-	loadAt   time.Time
 }
 
 func newServer(r galenalatch.Registration) *server {
