Take the share of the retry budget from the newest list of routers

Cause: read through. The share was fixed when a service had its first request; before the list of routers was read it was that of a fleet of five, so that 81 routers together could use ten times the fixed part.

Measured: TestBudgetFollowsRouters failed to compile before; the tests of the handler pass.

--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -34,6 +34,8 @@
 	events  *recorder
 	view    *view.View
 	refuse  bool
+	// repeats is the fixed part of the budget of repeats.
+	repeats float64
 }
 
 // recorder keeps what the handler and the view report.
@@ -93,7 +95,7 @@
 
 func newFixture(t testing.TB, c *galenalatch.Configuration) *fixture {
 	t.Helper()
-	f := &fixture{store: rows.New(), events: &recorder{}}
+	f := &fixture{repeats: 100, store: rows.New(), events: &recorder{}}
 	table := placement.New(placement.Options{Self: "r1", Local: "a", ReadRate: 50, ColdOver: 1.5, ColdSlack: 5})
 	start := time.Now()
 	f.view = view.New(view.Options{
@@ -105,7 +107,8 @@
 		Client: exchange.New(exchange.Options{
 			Dial: (&net.Dialer{}).DialContext, Headers: headers.Headers{}, DialTimeout: time.Second, MaxIdle: 4,
 		}),
-		NewBudget: func() *budget.Budget { return &budget.Budget{Fixed: 100, Window: 10 * time.Second} },
+		NewBudget: func() *budget.Budget { return &budget.Budget{Window: 10 * time.Second} },
+		Fixed:     func() float64 { return f.repeats },
 		Admit:     func(time.Time, Demand, time.Duration) bool { return !f.refuse },
 		Ledger:    share.New(4 * time.Second),
 	})
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -40,6 +40,9 @@
 	PassLimit time.Duration
 	// NewBudget returns the budget of repeats for one service.
 	NewBudget func() *budget.Budget
+	// Fixed returns the repeats of a window that this router may use without
+	// requests, as the list of routers says now.
+	Fixed func() float64
 	// Admit decides whether a request that is predicted to get its first
 	// token after wait is taken on.
 	Admit func(now time.Time, r Demand, wait time.Duration) bool
@@ -118,6 +121,7 @@
 		b = h.NewBudget()
 		h.budgets[service] = b
 	}
+	b.Fixed = h.Fixed()
 	return f(b)
 }
 
--- a/internal/caller/host/handler_test.go
+++ b/internal/caller/host/handler_test.go
@@ -216,6 +216,19 @@
 	assert.Equal(t, f.runs("r-1"), 0)
 }
 
+// Guards against a share of the budget that was fixed when the list of routers
+// was still short: it follows the list.
+func TestBudgetFollowsRouters(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.set(worker.Lose)
+	f.repeats = 1
+	assert.Equal(t, f.call(t.Context(), "GET", "/status/1", "r-1", "").status, http.StatusBadGateway)
+	assert.Equal(t, f.runs("r-1"), 2)
+	f.repeats = 0
+	assert.Equal(t, f.call(t.Context(), "GET", "/status/1", "r-2", "").status, http.StatusBadGateway)
+	assert.Equal(t, f.runs("r-2"), 1)
+}
+
 // Measures the processor time of one event of a stream.
 func BenchmarkStreamEvent(b *testing.B) {
 	f := newFixture(b, configuration())
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -146,6 +146,7 @@
 		MaxProofAge: s.KeyRemoval.Std() - proofMargin,
 		PassLimit:   s.PassLimit.Std(),
 		NewBudget:   g.newBudget,
+		Fixed:       g.fixedRepeats,
 		Admit:       g.admit,
 		Ledger:      g.ledger,
 	})
@@ -169,9 +170,18 @@
 
 func (g *Gateway) newBudget() *budget.Budget {
 	r := g.settings.Repeats
-	// The list of routers may be behind: the share is that of a larger fleet.
-	fleet := float64(max(g.routers.Load(), 1) + budgetSpare)
-	return &budget.Budget{Ratio: budgetMargin * r.Ratio, Fixed: budgetMargin * r.Fixed / fleet, Window: r.Window.Std()}
+	return &budget.Budget{Ratio: budgetMargin * r.Ratio, Window: r.Window.Std()}
+}
+
+// fixedRepeats is this router's share of the fixed part of the budget. The
+// list of routers may be behind, so the share is that of a larger fleet, and
+// nothing before the list was read.
+func (g *Gateway) fixedRepeats() float64 {
+	routers := g.routers.Load()
+	if routers == 0 {
+		return 0
+	}
+	return budgetMargin * g.settings.Repeats.Fixed / float64(routers+budgetSpare)
 }
 
 // admit asks the policy, with what the workspace had of its share.
