Let the workspace that had more than its share by more give way first

All workspaces above their share had the same limit of 0.4 of the aim, so one whose prompts are kept on free servers got seven times as much as one whose servers were taken.

Change: above the share the limit falls in proportion to what the workspace had, down to 0.3 of the aim.

--- a/internal/decide/admission/policy.go
+++ b/internal/decide/admission/policy.go
@@ -11,15 +11,18 @@
 // Policy holds the limits on the predicted time to the first token, as
 // fractions of the aim.
 type Policy struct {
-	// Within is the limit for workspaces below their share, Beyond for those
-	// above it.
+	// Within is the limit for workspaces below their share. Above it, the
+	// limit falls in proportion to what the workspace had, so that of two
+	// workspaces above their share the one that had more gives way.
 	Within float64
+	// Beyond is the lowest limit: engines that are nearly free take any
+	// request.
 	Beyond float64
 }
 
 // Default is the policy of a gateway.
 func Default() Policy {
-	return Policy{Within: 0.95, Beyond: 0.4}
+	return Policy{Within: 0.95, Beyond: 0.3}
 }
 
 // Demand is a request that asks for admission.
@@ -40,8 +43,8 @@
 		return true
 	}
 	limit := p.Within
-	if d.Fraction >= 1 {
-		limit = p.Beyond
+	if d.Fraction > 1 {
+		limit = max(p.Within/d.Fraction, p.Beyond)
 	}
 	return d.Waited+d.Wait <= time.Duration(limit*float64(d.Aim))
 }
