--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -120,24 +121,32 @@
 	assert.NilError(f.t, os.WriteFile(g.settings, []byte(s.String()), 0o600))
 }
 
-// firstPort and ports are a range below that of outgoing connections: a port
-// of that range may be taken between its choice and its use.
+// Ports are below the range of outgoing connections, where one may be taken
+// between its choice and its use. Each is given once, so that the fleets of
+// seeds that run beside each other do not share one.
 const (
 	firstPort = 15000
 	portCount = 15000
 )
 
+// nextPort begins at random, so that two soaks on one machine rarely meet.
+var nextPort = func() *atomic.Int64 {
+	var n atomic.Int64
+	n.Store(rand.Int64N(portCount))
+	return &n
+}()
+
 // freeAddress returns a loopback address that no one listens on.
 func freeAddress(t *testing.T) string {
-	for {
-		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+	for range portCount {
+		address := fmt.Sprint("127.0.0.1:", firstPort+nextPort.Add(1)%portCount)
+		if l, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, l.Close())
+			return address
 		}
-		assert.NilError(t, l.Close())
-		return address
 	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (f *soakFleet) start(g *gatewayProcess) {
