--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -60,13 +60,14 @@
 func TestErrors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		calls := 0
-		read := follow(t, &Feed{Read: func(context.Context, uint64, uint64, time.Duration) (galenalatch.Position, error) {
+		read := follow(t, &Feed{Wait: time.Hour, Read: func(ctx context.Context, _, _ uint64, _ time.Duration) (galenalatch.Position, error) {
 			calls++
 			switch calls {
 			case 2:
 				return galenalatch.Position{}, galenalatch.ErrHistoryGone
 			case 4:
-				time.Sleep(time.Minute)
+				<-ctx.Done()
+				return galenalatch.Position{}, ctx.Err()
 			}
 			return galenalatch.Position{Version: 7}, nil
 		}}, time.Minute)
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// known returns the newest list and token.
+func (r *router) known() ([]galenalatch.RouterID, string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ids, r.token
+}
+
+// members returns the newest list.
+func (r *router) members() []galenalatch.RouterID {
+	ids, _ := r.known()
+	return ids
+}
+
 func join(t *testing.T, s galenalatch.Store, id galenalatch.RouterID) *router {
 	t.Helper()
 	r := &router{}
@@ -63,18 +76,20 @@
 			store.SetFault(rows.Sound)
 			time.Sleep(20 * time.Second)
 			for _, r := range []*router{a, b} {
-				assert.DeepEqual(t, r.ids, []galenalatch.RouterID{"r1", "r2"})
+				assert.DeepEqual(t, r.members(), []galenalatch.RouterID{"r1", "r2"})
 			}
-			assert.Assert(t, a.token != "" && a.token == b.token)
+			_, token := a.known()
+			_, other := b.known()
+			assert.Assert(t, token != "" && token == other)
 
 			assert.NilError(t, a.list.Leave(t.Context()))
 			time.Sleep(2 * time.Second)
-			assert.DeepEqual(t, b.ids, []galenalatch.RouterID{"r2"})
+			assert.DeepEqual(t, b.members(), []galenalatch.RouterID{"r2"})
 
 			// A live router that was removed by mistake comes back.
 			assert.NilError(t, a.list.Remove(t.Context(), "r2"))
 			time.Sleep(5 * time.Second)
-			assert.DeepEqual(t, b.ids, []galenalatch.RouterID{"r2"})
+			assert.DeepEqual(t, b.members(), []galenalatch.RouterID{"r2"})
 			a.cancel()
 			b.cancel()
 		})
--- a/internal/fleet/relay/store_test.go
+++ b/internal/fleet/relay/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,11 +17,10 @@
 
 // pair is a relaying and a listening router with one store.
 type pair struct {
-	store   *rows.Store
-	relay   *Store
-	listen  *Store
-	cut     bool
-	relayed int
+	store  *rows.Store
+	relay  *Store
+	listen *Store
+	cut    atomic.Bool
 }
 
 func newPair() *pair {
@@ -28,8 +28,7 @@
 	p.listen = New(Options{Store: p.store, Send: func(galenalatch.StoreAnswer) {}})
 	p.listen.SetMode(Listening)
 	p.relay = New(Options{Store: p.store, Send: func(m galenalatch.StoreAnswer) {
-		if !p.cut {
-			p.relayed++
+		if !p.cut.Load() {
 			p.listen.Deliver(m)
 		}
 	}})
@@ -89,10 +88,10 @@
 		after = u.Version
 
 		// A part is missed.
-		p.cut = true
+		p.cut.Store(true)
 		p.store.Register(galenalatch.Registration{ID: "s2"})
 		time.Sleep(100 * time.Millisecond)
-		p.cut = false
+		p.cut.Store(false)
 		p.store.Register(galenalatch.Registration{ID: "s3"})
 		u, ok = p.follow(t, after, time.Second)
 		assert.Assert(t, ok)
@@ -101,7 +100,7 @@
 		after = u.Version
 
 		// The relaying router is cut off: changes are known in time.
-		p.cut = true
+		p.cut.Store(true)
 		p.store.Unregister("s1")
 		begun := time.Now()
 		u, ok = p.follow(t, after, 3*time.Second)
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,11 +160,10 @@
 		start := time.Now()
 		store := rows.New()
 		store.Configure(&galenalatch.Configuration{Version: 1})
-		first := true
+		var called atomic.Bool
 		clock := func() time.Duration {
-			if first {
+			if called.CompareAndSwap(false, true) {
 				// The process is suspended after it took the time of the call.
-				first = false
 				defer time.Sleep(time.Second)
 			}
 			return time.Since(start)
