Ask the kernel whether the caller is gone before each send

Cause: on a router without spare processor time requests are read more than a second after they came, when their callers have left. The HTTP library notices the close in a goroutine of its own, which runs after the request was sent on.

Change: front.Gone peeks at the connection, before each choice of a server.

--- a/internal/caller/front/server.go
+++ b/internal/caller/front/server.go
@@ -125,7 +125,7 @@
 	g := &generation{limits: limits, conns: make(chan net.Conn, acceptQueue), closed: make(chan struct{}), addr: &net.TCPAddr{}}
 	h := &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-		ConnState: s.count,
+		ConnState: s.count, ConnContext: withConnection,
 	}
 	if limits.HeaderTimeout > 0 {
 		h.ReadHeaderTimeout = limits.HeaderTimeout
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -50,6 +50,19 @@
 	r.lines = append(r.lines, fmt.Sprintf(format, args...))
 }
 
+// count returns the number of lines with a prefix.
+func (r *recorder) count(prefix string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, l := range r.lines {
+		if strings.HasPrefix(l, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *recorder) Lost(feed string, err error)                                  { r.add("lost %s", feed) }
 func (r *recorder) Regained(feed string, _ time.Duration)                        { r.add("regained %s", feed) }
 func (r *recorder) Applied(c *galenalatch.Configuration, _ galenalatch.Position) { r.add("applied") }
--- a/internal/caller/host/task.go
+++ b/internal/caller/host/task.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
+	"github.com/galenalatch/galenalatch/internal/caller/front"
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
@@ -84,6 +85,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, galenalatch.KindWaitTimeout.Errorf("%w", context.Cause(ctx))
 	}
+	if front.Gone(t.r.Context()) {
+		return nil, galenalatch.KindCallerGone.Errorf("the caller closed its connection %s after its request was read", time.Since(t.arrival).Round(time.Millisecond))
+	}
 	if len(t.tried) > 0 {
 		// The configuration may have changed since the first attempt.
 		if err := t.match(); err != nil {
@@ -225,7 +229,7 @@
 	case t.r.Context().Err() != nil && !errors.Is(context.Cause(ctx), errTimeLimit):
 		t.h.Events.Ended(t.call.ID, t.decision, 0, err)
 		panic(http.ErrAbortHandler)
-	case t.begun:
+	case t.begun, galenalatch.KindOf(err) == galenalatch.KindCallerGone && t.mayRun:
 		// The caller must not take what it has for the whole answer.
 		t.h.Events.Ended(t.call.ID, t.decision, 0, err)
 		panic(http.ErrAbortHandler)
