Exchange loads by data centres and relays in large fleets

Cause: each router told each other one what it has under way. The pause between two messages had to grow with the fleet (646 ms at 91 routers, 1.9 s at 300), and a load older than 1 s does not count, so that from 150 routers on each placed requests by what it had sent itself. Each router also kept a connection to each other one.

Above 16 routers a router talks to those of its data centre; two relays of each send its sum to the relays of the others and pass the sum of the others on. The relays are those that follow the store's feeds. Equal messages are recognized now: they are sorted (before, the order of a map made each one look new). A data centre without a sign from its relays for twice the silence limit leaves the list as a whole.

--- a/internal/peer/use/exchange.go
+++ b/internal/peer/use/exchange.go
@@ -1,33 +1,35 @@
 // Package use tells the other routers what this one has under way, and
-// receives the same from them, over one WebSocket per pair of routers.
+// receives the same from them, over one WebSocket per pair of routers that
+// the topology connects. In a large fleet the relays of data centres pass sums
+// on between them.
 package use
 
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
-	"reflect"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
 )
 
 const (
 	// interval is the time between two messages to each router in a small
-	// fleet. perRouter is added for each router, so that the messages that a
-	// router sends and receives in a second stay bounded.
-	interval  = 100 * time.Millisecond
-	perRouter = 6 * time.Millisecond
-	// repeatAfter is the longest time without a message while nothing
-	// changes but something is under way.
-	repeatAfter = 500 * time.Millisecond
-	// idleAfter is the longest time without a message.
-	idleAfter = 10 * time.Second
+	// fleet. perRouter is added for each router that is told, up to
+	// longestInterval, so that the messages that a router sends and receives
+	// in a second stay bounded.
+	interval        = 100 * time.Millisecond
+	perRouter       = 6 * time.Millisecond
+	longestInterval = 600 * time.Millisecond
+	// maxAge is the age after which the message of another router does not
+	// count in a sum. It covers a message that is lost.
+	maxAge = 2 * longestInterval
 	// tokenUnit is the unit of tokens in messages.
 	tokenUnit = 1000
 )
@@ -49,25 +51,34 @@
 // Exchange keeps the connections with the other routers.
 type Exchange struct {
 	Options
-	mu    sync.Mutex
-	mesh  *link.Mesh
-	peers []galenalatch.RouterID
-	// near are the peers of the own data centre.
-	near  []galenalatch.RouterID
+	mu       sync.Mutex
+	mesh     *link.Mesh
+	topology topology.Topology
+	// heard is when each connected router was heard, far when a relay of
+	// each other data centre was.
 	heard map[galenalatch.RouterID]time.Time
+	far   map[galenalatch.DataCentre]time.Time
 	ready chan struct{}
 
-	last   galenalatch.RouterUse
-	lastAt time.Time
+	received received
+	// The outboxes are used by the loop only: for the own use, the sum of
+	// the data centre, and that of all others.
+	sentOwn       outbox
+	sentSum       outbox
+	sentElsewhere outbox
 }
 
 // New returns an exchange without peers.
 func New(o Options) *Exchange {
-	return &Exchange{Options: o, heard: make(map[galenalatch.RouterID]time.Time), ready: make(chan struct{})}
+	return &Exchange{
+		Options: o, heard: make(map[galenalatch.RouterID]time.Time), far: make(map[galenalatch.DataCentre]time.Time),
+		ready: make(chan struct{}), received: newReceived(),
+	}
 }
 
-// SetPeers replaces the list of routers. The token of the first call stays.
-func (e *Exchange) SetPeers(list []galenalatch.Instance, token string) error {
+// SetPeers replaces the list of routers and this router's place among them.
+// The token of the first call stays.
+func (e *Exchange) SetPeers(list []galenalatch.Instance, t topology.Topology, token string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if token == "" {
@@ -86,25 +97,27 @@
 		e.mesh = m
 		close(e.ready)
 	}
-	e.mesh.SetPeers(list)
-	e.peers, e.near = nil, nil
+	e.topology = t
+	connect := append(slices.Clone(t.Near), t.Far()...)
+	e.mesh.SetPeers(slices.DeleteFunc(slices.Clone(list), func(i galenalatch.Instance) bool {
+		return !slices.Contains(connect, galenalatch.RouterID(i.ID))
+	}))
 	now := time.Now()
-	heard := make(map[galenalatch.RouterID]time.Time, len(list))
-	for _, i := range list {
-		id := galenalatch.RouterID(i.ID)
-		if id == e.Self {
-			continue
-		}
-		e.peers = append(e.peers, id)
-		if i.DataCentre == e.DataCentre {
-			e.near = append(e.near, id)
+	heard := make(map[galenalatch.RouterID]time.Time, len(connect))
+	far := make(map[galenalatch.DataCentre]time.Time)
+	for _, r := range connect {
+		heard[r] = now
+		if at, ok := e.heard[r]; ok {
+			heard[r] = at
 		}
-		heard[id] = now
-		if at, ok := e.heard[id]; ok {
-			heard[id] = at
+		if d, ok := t.Foreign(r); ok {
+			far[d] = now
+			if at, ok := e.far[d]; ok {
+				far[d] = at
+			}
 		}
 	}
-	e.heard = heard
+	e.heard, e.far = heard, far
 	return nil
 }
 
@@ -146,7 +159,7 @@
 func (e *Exchange) loop(ctx context.Context) {
 	for {
 		e.mu.Lock()
-		pause := interval + time.Duration(len(e.peers))*perRouter
+		pause := min(interval+time.Duration(len(e.topology.Near))*perRouter, longestInterval)
 		e.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -157,82 +170,119 @@
 	}
 }
 
-func (e *Exchange) send(now time.Time) {
-	m := galenalatch.RouterUse{}
+// under returns what this router has under way.
+func (e *Exchange) under(now time.Time) galenalatch.RouterUse {
+	t := newTotal()
 	for k, l := range e.Table.Own(now) {
-		m.Servers = append(m.Servers, galenalatch.ServerUse{
-			Server: k, Running: clamp(l.Running), ReadingMillis: clamp(int(l.Reading / time.Millisecond)),
-		})
+		t.servers[k] = l
 	}
 	for k, u := range e.Ledger.Own(now) {
-		m.Workspaces = append(m.Workspaces, galenalatch.WorkspaceUse{
-			Workspace: k, Asked: uint32(u.Asked / tokenUnit), Begun: uint32(u.Begun / tokenUnit),
-		})
+		t.workspaces[k] = u
+	}
+	return t.message()
+}
+
+func (e *Exchange) send(now time.Time) {
+	own := e.under(now)
+	e.mu.Lock()
+	mesh, t := e.mesh, e.topology
+	relaying := t.Relaying()
+	var sum, elsewhere galenalatch.RouterUse
+	if relaying {
+		sum = e.received.dataCentre(now, own)
+		elsewhere = e.received.others(now, t)
 	}
-	idle := len(m.Servers)+len(m.Workspaces) == 0
-	wasIdle := len(e.last.Servers)+len(e.last.Workspaces) == 0
-	limit := repeatAfter
-	if idle && wasIdle {
-		limit = idleAfter
+	e.mu.Unlock()
+	if e.sentOwn.due(now, own) {
+		mesh.Broadcast(t.Near, own)
 	}
-	if now.Sub(e.lastAt) < limit && reflect.DeepEqual(m, e.last) {
+	if !relaying {
 		return
 	}
-	e.last, e.lastAt = m, now
-	e.mu.Lock()
-	peers, mesh := e.peers, e.mesh
-	e.mu.Unlock()
-	mesh.Broadcast(peers, m)
+	if e.sentSum.due(now, sum) {
+		mesh.Broadcast(t.Far(), galenalatch.DataCentreUse{Use: sum})
+	}
+	if e.sentElsewhere.due(now, elsewhere) {
+		mesh.Broadcast(t.Near, galenalatch.ElsewhereUse{Use: elsewhere})
+	}
+	e.set(now, galenalatch.Elsewhere, elsewhere)
 }
 
 // Pass passes an answer of the store on to the routers of the data centre.
 func (e *Exchange) Pass(a galenalatch.StoreAnswer) {
 	e.mu.Lock()
-	near, mesh := e.near, e.mesh
+	near, mesh := e.topology.Near, e.mesh
 	e.mu.Unlock()
 	if mesh != nil {
 		mesh.Broadcast(near, a)
 	}
 }
 
-func clamp(n int) uint16 {
-	return uint16(min(max(n, 0), math.MaxUint16))
-}
-
 func (e *Exchange) hear(r galenalatch.RouterID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.heardAt(r, time.Now())
+}
+
+// heardAt notes that a router was heard. e.mu is held.
+func (e *Exchange) heardAt(r galenalatch.RouterID, now time.Time) {
 	if _, ok := e.heard[r]; ok {
-		e.heard[r] = time.Now()
+		e.heard[r] = now
+	}
+	if d, ok := e.topology.Foreign(r); ok {
+		if _, ok := e.far[d]; ok {
+			e.far[d] = now
+		}
 	}
 }
 
 // receive takes the message of another router.
 func (e *Exchange) receive(from galenalatch.RouterID, m galenalatch.Message) {
 	e.hear(from)
-	if a, ok := m.(galenalatch.StoreAnswer); ok {
-		e.Answered(a)
-		return
-	}
-	u, ok := m.(galenalatch.RouterUse)
-	if !ok {
-		return
-	}
 	now := time.Now()
-	loads := make(map[uint32]placement.Load, len(u.Servers))
-	for _, s := range u.Servers {
-		loads[s.Server] = placement.Load{Running: int(s.Running), Reading: time.Duration(s.ReadingMillis) * time.Millisecond}
-	}
-	uses := make(map[uint32]share.Use, len(u.Workspaces))
-	for _, w := range u.Workspaces {
-		uses[w.Workspace] = share.Use{Asked: float64(w.Asked) * tokenUnit, Begun: float64(w.Begun) * tokenUnit}
+	switch m := m.(type) {
+	case galenalatch.StoreAnswer:
+		e.Answered(m)
+	case galenalatch.RouterUse:
+		e.mu.Lock()
+		// A router that does not know the fleet's size yet tells all. It
+		// counts in the sum of its data centre.
+		_, foreign := e.topology.Foreign(from)
+		if !foreign {
+			e.received.near[from] = stamped{now, m}
+		}
+		e.mu.Unlock()
+		if !foreign {
+			e.set(now, from, m)
+		}
+	case galenalatch.DataCentreUse:
+		e.mu.Lock()
+		e.received.far[from] = stamped{now, m.Use}
+		e.mu.Unlock()
+	case galenalatch.ElsewhereUse:
+		e.mu.Lock()
+		e.received.elsewhere[from] = stamped{now, m.Use}
+		use, ok := e.received.preferred(now, e.received.elsewhere, e.topology.Relays[e.DataCentre])
+		ok = ok && !e.topology.Relaying()
+		e.mu.Unlock()
+		if ok {
+			e.set(now, galenalatch.Elsewhere, use)
+		}
 	}
-	e.Table.SetRemote(now, from, loads)
-	e.Ledger.SetRemote(now, from, uses)
 }
 
-// Silent returns the routers that were not heard for a time, and whether any
-// other router was heard within it.
+// set records what a router, or all of other data centres, have under way.
+func (e *Exchange) set(now time.Time, r galenalatch.RouterID, m galenalatch.RouterUse) {
+	t := newTotal()
+	t.add(m)
+	e.Table.SetRemote(now, r, t.servers)
+	e.Ledger.SetRemote(now, r, t.workspaces)
+}
+
+// Silent returns the routers that were not heard for the limit, and whether
+// any other router was heard within it. The routers of another data centre
+// are silent when its relays, which change when one is removed from the list,
+// were not heard for twice the limit.
 func (e *Exchange) Silent(now time.Time, limit time.Duration) (silent []galenalatch.RouterID, connected bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -240,16 +290,23 @@
 		return nil, false
 	}
 	for r, t := range e.mesh.Stats() {
-		if _, ok := e.heard[r]; ok && t.Connected {
-			e.heard[r] = now
+		if t.Connected {
+			e.heardAt(r, now)
 		}
 	}
 	for r, at := range e.heard {
-		if now.Sub(at) < limit {
+		_, foreign := e.topology.Foreign(r)
+		switch {
+		case now.Sub(at) < limit:
 			connected = true
-			continue
+		case !foreign:
+			silent = append(silent, r)
+		}
+	}
+	for d, at := range e.far {
+		if now.Sub(at) >= 2*limit {
+			silent = append(silent, e.topology.In(d)...)
 		}
-		silent = append(silent, r)
 	}
 	return silent, connected
 }
--- a/internal/peer/use/exchange_test.go
+++ b/internal/peer/use/exchange_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 )
 
 // peer is a router with its exchange.
@@ -21,14 +24,15 @@
 	ledger   *share.Ledger
 	answered chan galenalatch.StoreAnswer
 	address  string
+	stop     func()
 }
 
-func newPeer(t *testing.T, id galenalatch.RouterID) *peer {
+func newPeer(t *testing.T, id galenalatch.RouterID, d galenalatch.DataCentre) *peer {
 	t.Helper()
 	p := &peer{ledger: share.New(4 * time.Second), answered: make(chan galenalatch.StoreAnswer, 10)}
 	p.Exchange = New(Options{
-		Self: id, Start: string(id) + "-1", DataCentre: "a", Ledger: p.ledger,
-		Table:     placement.New(placement.Options{Self: id, Local: "a", ReadRate: 50}),
+		Self: id, Start: string(id) + "-1", DataCentre: d, Ledger: p.ledger,
+		Table:     placement.New(placement.Options{Self: id, Local: d, ReadRate: 50}),
 		Answered:  func(a galenalatch.StoreAnswer) { p.answered <- a },
 		Connected: func(galenalatch.RouterID) {},
 		Lost:      func(galenalatch.RouterID, error) {},
@@ -36,6 +40,7 @@
 	server := httptest.NewServer(p)
 	p.address = strings.TrimPrefix(server.URL, "http://")
 	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
 	t.Cleanup(func() {
@@ -49,13 +54,13 @@
 // Guards against routers that do not hear what others have under way, and
 // against answers of the store that are not passed on.
 func TestExchange(t *testing.T) {
-	a, b := newPeer(t, "r1"), newPeer(t, "r2")
+	a, b := newPeer(t, "r1", "a"), newPeer(t, "r2", "a")
 	list := []galenalatch.Instance{
 		{ID: "r1", Role: galenalatch.RouterRole, Address: a.address, DataCentre: "a"},
 		{ID: "r2", Role: galenalatch.RouterRole, Address: b.address, DataCentre: "a"},
 	}
 	for _, p := range []*peer{a, b} {
-		assert.NilError(t, p.SetPeers(list, "token-of-the-fleet"))
+		assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
 	}
 	now := time.Now()
 	a.ledger.Add(now, "large", share.Use{Asked: 9000, Begun: 8000})
@@ -83,3 +88,85 @@
 	assert.Assert(t, connected)
 	assert.Equal(t, len(silent), 0)
 }
+
+// Guards against a large fleet whose routers do not hear what other data
+// centres have under way, count it twice through two relays, or stop hearing
+// of it when a relay is gone.
+func TestLargeFleet(t *testing.T) {
+	const routers = topology.SmallFleet + 2
+	var peers []*peer
+	var list []galenalatch.Instance
+	for i := range routers {
+		d := galenalatch.DataCentre("ab"[i%2 : i%2+1])
+		p := newPeer(t, galenalatch.RouterID(fmt.Sprint("r", i)), d)
+		peers = append(peers, p)
+		list = append(list, galenalatch.Instance{ID: string(p.Self), Role: galenalatch.RouterRole, Address: p.address, DataCentre: d})
+	}
+	for _, p := range peers {
+		assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
+	}
+	relays := peers[0].topology.Relays
+	source := slices.IndexFunc(peers, func(p *peer) bool { return !slices.Contains(relays["a"], p.Self) && p.DataCentre == "a" })
+	// Fractions of a share of 4,000 tokens. The sum can be behind, never
+	// above.
+	fraction := func(p *peer, want float64) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			f := p.ledger.Fraction(time.Now(), "large", 1000)
+			assert.Assert(t, f <= want+0.01, "%s counts %.2f of %.2f", p.Self, f, want)
+			if f < want-0.01 {
+				return poll.Continue("%s: fraction %.2f of %.2f", p.Self, f, want)
+			}
+			return poll.Success()
+		}
+	}
+	peers[source].ledger.Add(time.Now(), "large", share.Use{Asked: 9000, Begun: 8000})
+	for _, p := range peers {
+		poll.WaitOn(t, fraction(p, 2), poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+	}
+	for _, p := range peers {
+		if p.Self == relays["a"][0] || p.Self == relays["b"][0] {
+			p.stop()
+		}
+	}
+	time.Sleep(maxAge)
+	peers[source].ledger.Add(time.Now(), "large", share.Use{Asked: 9000, Begun: 4000})
+	for _, p := range peers {
+		if p.Self != relays["a"][0] && p.Self != relays["b"][0] {
+			poll.WaitOn(t, fraction(p, 3), poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+		}
+	}
+	for _, p := range peers {
+		links := 0
+		for _, c := range p.mesh.Stats() {
+			if c.Connected {
+				links++
+			}
+		}
+		assert.Assert(t, links <= routers/2-1+topology.RelaysEach, "%s has %d links", p.Self, links)
+	}
+}
+
+// Guards against data centres that stay in the list when all of their routers
+// are gone, and against one that is removed because one relay is gone.
+func TestSilentDataCentre(t *testing.T) {
+	const limit = 20 * time.Second
+	var list []galenalatch.Instance
+	for i := range topology.SmallFleet + 2 {
+		list = append(list, galenalatch.Instance{ID: fmt.Sprint("r", i), Role: galenalatch.RouterRole, Address: "127.0.0.1:1", DataCentre: galenalatch.DataCentre("ab"[i%2 : i%2+1])})
+	}
+	relays := topology.New("r0", "a", list).Relays
+	p := newPeer(t, relays["a"][0], "a")
+	assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
+	start := time.Now()
+	for _, r := range p.topology.Near {
+		p.heard[r] = start.Add(2 * limit)
+	}
+	silent, connected := p.Silent(start.Add(limit+time.Second), limit)
+	assert.Assert(t, connected)
+	assert.Equal(t, len(silent), 0, "the relays' own data centre removes them")
+	silent, _ = p.Silent(start.Add(2*limit+time.Second), limit)
+	assert.DeepEqual(t, silent, p.topology.In("b"))
+	p.far["b"] = start.Add(limit)
+	silent, _ = p.Silent(start.Add(2*limit+time.Second), limit)
+	assert.Equal(t, len(silent), 0)
+}
--- /dev/null
+++ b/internal/peer/use/outbox.go
@@ -0,0 +1,39 @@
+package use
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+const (
+	// repeatAfter is the longest time without a message while nothing
+	// changes but something is under way.
+	repeatAfter = 500 * time.Millisecond
+	// idleAfter is the longest time without a message.
+	idleAfter = 10 * time.Second
+)
+
+// outbox holds back messages that say what the one before said.
+type outbox struct {
+	last galenalatch.RouterUse
+	at   time.Time
+}
+
+// due reports whether a message should be sent now, and notes that it is.
+func (o *outbox) due(now time.Time, m galenalatch.RouterUse) bool {
+	limit := repeatAfter
+	if empty(m) && empty(o.last) {
+		limit = idleAfter
+	}
+	if now.Sub(o.at) < limit && slices.Equal(m.Servers, o.last.Servers) && slices.Equal(m.Workspaces, o.last.Workspaces) {
+		return false
+	}
+	o.last, o.at = m, now
+	return true
+}
+
+func empty(m galenalatch.RouterUse) bool {
+	return len(m.Servers)+len(m.Workspaces) == 0
+}
--- /dev/null
+++ b/internal/peer/use/received.go
@@ -0,0 +1,120 @@
+package use
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/topology"
+)
+
+// stamped is a message with the time at which it came.
+type stamped struct {
+	at  time.Time
+	use galenalatch.RouterUse
+}
+
+// received holds the newest message of each router by its kind.
+type received struct {
+	// near are the uses of routers of the own data centre, far those of
+	// other data centres by the relay that sent them, elsewhere those of all
+	// other data centres by the own relay that sent them.
+	near      map[galenalatch.RouterID]stamped
+	far       map[galenalatch.RouterID]stamped
+	elsewhere map[galenalatch.RouterID]stamped
+}
+
+func newReceived() received {
+	return received{
+		near: make(map[galenalatch.RouterID]stamped), far: make(map[galenalatch.RouterID]stamped),
+		elsewhere: make(map[galenalatch.RouterID]stamped),
+	}
+}
+
+// dataCentre returns the sum of the data centre with the own use.
+func (r received) dataCentre(now time.Time, own galenalatch.RouterUse) galenalatch.RouterUse {
+	maps.DeleteFunc(r.near, func(_ galenalatch.RouterID, s stamped) bool { return now.Sub(s.at) > maxAge })
+	t := newTotal()
+	t.add(own)
+	for _, s := range r.near {
+		t.add(s.use)
+	}
+	return t.message()
+}
+
+// others returns the sum of the other data centres.
+func (r received) others(now time.Time, p topology.Topology) galenalatch.RouterUse {
+	t := newTotal()
+	for _, relays := range p.Relays {
+		// The own data centre's relays send no message of this kind.
+		if use, ok := r.preferred(now, r.far, relays); ok {
+			t.add(use)
+		}
+	}
+	return t.message()
+}
+
+// preferred returns the message of the first relay that was heard lately:
+// both relays of a data centre tell the same, so only one counts.
+func (r received) preferred(now time.Time, from map[galenalatch.RouterID]stamped, relays []galenalatch.RouterID) (galenalatch.RouterUse, bool) {
+	maps.DeleteFunc(from, func(_ galenalatch.RouterID, s stamped) bool { return now.Sub(s.at) > maxAge })
+	for _, relay := range relays {
+		if s, ok := from[relay]; ok {
+			return s.use, true
+		}
+	}
+	return galenalatch.RouterUse{}, false
+}
+
+// total is a sum of uses.
+type total struct {
+	servers    map[uint32]placement.Load
+	workspaces map[uint32]share.Use
+}
+
+func newTotal() total {
+	return total{servers: make(map[uint32]placement.Load), workspaces: make(map[uint32]share.Use)}
+}
+
+func (t total) add(m galenalatch.RouterUse) {
+	for _, s := range m.Servers {
+		l := t.servers[s.Server]
+		l.Running += int(s.Running)
+		l.Reading += time.Duration(s.ReadingMillis) * time.Millisecond
+		t.servers[s.Server] = l
+	}
+	for _, w := range m.Workspaces {
+		u := t.workspaces[w.Workspace]
+		u.Asked += float64(w.Asked) * tokenUnit
+		u.Begun += float64(w.Begun) * tokenUnit
+		t.workspaces[w.Workspace] = u
+	}
+}
+
+// message returns the sum in the order of its keys, so that equal sums are
+// equal messages.
+func (t total) message() galenalatch.RouterUse {
+	m := galenalatch.RouterUse{}
+	for k, l := range t.servers {
+		m.Servers = append(m.Servers, galenalatch.ServerUse{
+			Server: k, Running: clamp(l.Running), ReadingMillis: clamp(int(l.Reading / time.Millisecond)),
+		})
+	}
+	for k, u := range t.workspaces {
+		m.Workspaces = append(m.Workspaces, galenalatch.WorkspaceUse{
+			Workspace: k, Asked: uint32(u.Asked / tokenUnit), Begun: uint32(u.Begun / tokenUnit),
+		})
+	}
+	slices.SortFunc(m.Servers, func(a, b galenalatch.ServerUse) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(m.Workspaces, func(a, b galenalatch.WorkspaceUse) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return m
+}
+
+func clamp(n int) uint16 {
+	return uint16(min(max(n, 0), math.MaxUint16))
+}
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -176,6 +176,7 @@
 	of[galenalatch.Progress], of[galenalatch.Finish], of[galenalatch.Grant], of[galenalatch.Refuse],
 	of[galenalatch.LeaseAsk], of[galenalatch.LeaseState], of[galenalatch.Summary], of[galenalatch.Lend],
 	of[galenalatch.GiveBack], of[galenalatch.Handover], of[galenalatch.RouterUse],
+	of[galenalatch.DataCentreUse], of[galenalatch.ElsewhereUse],
 	of[galenalatch.StoreAnswer],
 )
 
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/gateway"
-	"github.com/galenalatch/galenalatch/internal/fleet/members"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
+	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 )
 
 // Guards against shares of the retry budget that together exceed it, also
@@ -27,22 +27,22 @@
 
 // Guards against large fleets in which all or none follow the store.
 func TestRelayMode(t *testing.T) {
-	var list []members.Member
+	var list []galenalatch.Instance
 	for i := range 40 {
-		list = append(list, members.Member{ID: galenalatch.RouterID(fmt.Sprint("r", i)), DataCentre: galenalatch.DataCentre("ab"[i%2 : i%2+1])})
+		list = append(list, galenalatch.Instance{ID: fmt.Sprint("r", i), DataCentre: galenalatch.DataCentre("ab"[i%2 : i%2+1])})
 	}
-	for _, n := range []int{1, relayFleet} {
-		assert.Equal(t, relayMode("r0", "a", list[:n]), relay.Alone)
+	for _, n := range []int{1, topology.SmallFleet} {
+		assert.Equal(t, relayMode(topology.New("r0", "a", list[:n])), relay.Alone)
 	}
 	relaying := make(map[galenalatch.DataCentre]int)
-	for _, m := range list {
-		if relayMode(m.ID, m.DataCentre, list) == relay.Relaying {
-			relaying[m.DataCentre]++
+	for _, i := range list {
+		if relayMode(topology.New(galenalatch.RouterID(i.ID), i.DataCentre, list)) == relay.Relaying {
+			relaying[i.DataCentre]++
 		}
 	}
-	assert.DeepEqual(t, relaying, map[galenalatch.DataCentre]int{"a": relayCount, "b": relayCount})
+	assert.DeepEqual(t, relaying, map[galenalatch.DataCentre]int{"a": topology.RelaysEach, "b": topology.RelaysEach})
 	// A router that is not in the list itself leaves it to the others.
-	assert.Equal(t, relayMode("r99", "a", list), relay.Listening)
+	assert.Equal(t, relayMode(topology.New("r99", "a", list)), relay.Listening)
 }
 
 // Guards against a router that stays ready while its work waits for the
--- a/internal/process/gateway/routers.go
+++ b/internal/process/gateway/routers.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
-	"github.com/galenalatch/galenalatch/internal/decide/rendezvous"
 	"github.com/galenalatch/galenalatch/internal/fleet/members"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
+	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 	"github.com/galenalatch/galenalatch/internal/peer/use"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
@@ -49,37 +48,22 @@
 			ID: string(m.ID), Role: galenalatch.RouterRole, Address: m.Address, DataCentre: m.DataCentre,
 		})
 	}
+	t := topology.New(g.settings.ID, g.settings.DataCentre, instances)
 	g.table.SetMembers(ids)
-	g.relay.SetMode(relayMode(g.settings.ID, g.settings.DataCentre, list))
+	g.relay.SetMode(relayMode(t))
 	g.routers.Store(int64(len(ids)))
-	if err := g.peers.SetPeers(instances, token); err != nil {
+	if err := g.peers.SetPeers(instances, t, token); err != nil {
 		g.log.Event(events.PeerRejected, "error", err)
 	}
-	g.log.Event(events.MembersChanged, "routers", len(ids))
+	g.log.Event(events.MembersChanged, "routers", len(ids), "near", len(t.Near), "far", len(t.Far()))
 }
 
-const (
-	// relayFleet is the number of routers up to which each follows the store
-	// itself.
-	relayFleet = 16
-	// relayCount is the number of routers of a data centre that follow the
-	// store for the others.
-	relayCount = 2
-)
-
 // relayMode decides who follows the store for a router.
-func relayMode(self galenalatch.RouterID, d galenalatch.DataCentre, list []members.Member) relay.Mode {
-	if len(list) <= relayFleet {
+func relayMode(t topology.Topology) relay.Mode {
+	switch {
+	case t.Small:
 		return relay.Alone
-	}
-	var near []string
-	for _, m := range list {
-		if m.DataCentre == d {
-			near = append(near, string(m.ID))
-		}
-	}
-	ranked := rendezvous.Hash{Seed: "relay"}.Rank(string(d), near)
-	if slices.Contains(ranked[:min(relayCount, len(ranked))], string(self)) {
+	case t.Relaying():
 		return relay.Relaying
 	}
 	return relay.Listening
--- a/message.go
+++ b/message.go
@@ -293,6 +293,22 @@
 	Workspaces []WorkspaceUse `cbor:"w"`
 }
 
+// Elsewhere stands for all routers of the other data centres together where
+// loads are kept by router.
+const Elsewhere RouterID = ""
+
+// DataCentreUse is what all routers of a data centre have under way together.
+// Relays of data centres send it to each other.
+type DataCentreUse struct {
+	Use RouterUse `cbor:"u"`
+}
+
+// ElsewhereUse is what the routers of all other data centres have under way
+// together. A relay sends it to the routers of its own data centre.
+type ElsewhereUse struct {
+	Use RouterUse `cbor:"u"`
+}
+
 // StoreAnswer is an answer of one of the store's feeds that a router passes on
 // to the others of its data centre. It holds what has changed from After to
 // Version; without changes it proves that there were none.
@@ -380,5 +396,11 @@
 // MessageType implements Message.
 func (RouterUse) MessageType() string { return "routerUse" }
 
+// MessageType implements Message.
+func (DataCentreUse) MessageType() string { return "dataCentreUse" }
+
+// MessageType implements Message.
+func (ElsewhereUse) MessageType() string { return "elsewhereUse" }
+
 // MessageType implements Message.
 func (StoreAnswer) MessageType() string { return "storeAnswer" }
