Share what the fleet begins instead of the configured rate

Cause: with empty caches engines reach a part of the configured throughput.

Change: the level is that of what the fleet began in the window, at most the configured rate; the lowest limit is 0.15 of the aim. The log tells the share with each placement and refusal. TestFraction used a throughput far below the rate; its figures change with the definition and stay as exact. TestFractionOfThroughput fails without the change.

--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -43,9 +43,9 @@
 	// Fixed returns the repeats of a window that this router may use without
 	// requests, as the list of routers says now.
 	Fixed func() float64
-	// Admit decides whether a request that is predicted to get its first
-	// token after wait is taken on.
-	Admit func(now time.Time, r Demand, wait time.Duration) bool
+	// Admit decides whether a request is taken on. It returns what the
+	// workspace had as a fraction of its share.
+	Admit func(now time.Time, r Demand) (share float64, ok bool)
 	// Ledger counts what workspaces ask and get.
 	Ledger *share.Ledger
 }
@@ -56,8 +56,10 @@
 	Route     *galenalatch.HostRoute
 	// TokenRate is the throughput of all engines in tokens a second.
 	TokenRate float64
-	// Waited is the time since the request arrived.
+	// Waited is the time since the request arrived, Wait the predicted time
+	// to the first token from now.
 	Waited time.Duration
+	Wait   time.Duration
 }
 
 // Events are told of the decisions about requests. They must not block.
@@ -81,6 +83,8 @@
 	// the prompt that the server is expected to keep.
 	Wait   time.Duration
 	Cached int
+	// Share is what the workspace had as a fraction of its share.
+	Share float64
 	// Attempt counts the backend servers that the request was sent to.
 	Attempt int
 	Waited  time.Duration
--- a/internal/caller/host/task.go
+++ b/internal/caller/host/task.go
@@ -105,11 +105,16 @@
 	}
 	t.decision.Server, t.decision.Wait, t.decision.Cached, t.decision.Cold = p.Server, p.Wait, p.Cached, p.Cold
 	demand := Demand{
-		Workspace: t.decision.Workspace, Route: t.route, TokenRate: t.configuration.Limits.TokenRate, Waited: t.decision.Waited,
+		Workspace: t.decision.Workspace, Route: t.route, TokenRate: t.configuration.Limits.TokenRate,
+		Waited: t.decision.Waited, Wait: p.Wait,
 	}
-	if len(t.tried) == 0 && !t.h.Admit(now, demand, p.Wait) {
-		t.h.Table.Done(now, p, placement.Cancelled)
-		return nil, galenalatch.KindQueueFull.Errorf("the first token is predicted after %s", p.Wait.Round(time.Millisecond))
+	if len(t.tried) == 0 {
+		share, ok := t.h.Admit(now, demand)
+		t.decision.Share = share
+		if !ok {
+			t.h.Table.Done(now, p, placement.Cancelled)
+			return nil, galenalatch.KindQueueFull.Errorf("the first token is predicted after %s", p.Wait.Round(time.Millisecond))
+		}
 	}
 	if t.route.Kind == galenalatch.StreamWork && len(t.tried) == 0 {
 		t.h.Ledger.Add(now, t.decision.Workspace, share.Use{Begun: t.tokens()})
--- a/internal/decide/admission/policy.go
+++ b/internal/decide/admission/policy.go
@@ -22,7 +22,7 @@
 
 // Default is the policy of a gateway.
 func Default() Policy {
-	return Policy{Within: 0.95, Beyond: 0.3}
+	return Policy{Within: 0.95, Beyond: 0.15}
 }
 
 // Demand is a request that asks for admission.
--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -151,14 +151,23 @@
 }
 
 // Fraction returns what was begun for a workspace within the window as a
-// fraction of its max-min share of rate, in tokens a second. Workspaces below
-// 1 have room in their share.
+// fraction of its max-min share. What is shared is what the fleet began for
+// all workspaces, at most rate tokens a second where rate is positive: engines
+// that fall behind the configured rate leave less to share. Workspaces below 1
+// have room in their share.
 func (l *Ledger) Fraction(now time.Time, w galenalatch.WorkspaceName, rate float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.sums == nil || l.levelFor != rate || now.Sub(l.levelAt) >= levelTime {
 		l.sums = l.fleet(now)
-		l.level, l.levelAt, l.levelFor = Level(l.sums, rate*l.window.Seconds()), now, rate
+		capacity := 0.0
+		for _, u := range l.sums {
+			capacity += u.Begun
+		}
+		if rate > 0 {
+			capacity = min(capacity, rate*l.window.Seconds())
+		}
+		l.level, l.levelAt, l.levelFor = Level(l.sums, capacity), now, rate
 	}
 	if l.level <= 0 {
 		return 0
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -41,20 +41,54 @@
 	const window = 4 * time.Second
 	l := New(window)
 	now := time.Unix(1000, 0)
-	l.Add(now, "large", Use{Asked: 3000, Begun: 500})
+	l.Add(now, "large", Use{Asked: 3000, Begun: 2400})
 	l.Add(now, "small", Use{Asked: 100, Begun: 100})
 	// 2,000 tokens in the window: the small one gets 100, the large one 1,900.
-	assert.Equal(t, l.Fraction(now, "large", 500), 500.0/1900)
+	assert.Equal(t, l.Fraction(now, "large", 500), 2400.0/1900)
 	l.SetRemote(now, "r2", map[uint32]Use{Key("large"): {Asked: 3000, Begun: 1400}})
 	now = now.Add(levelTime + time.Millisecond)
-	assert.Equal(t, l.Fraction(now, "large", 500), 1.0)
+	assert.Equal(t, l.Fraction(now, "large", 500), 2.0)
 	now = now.Add(maxRemoteAge)
-	assert.Equal(t, l.Fraction(now, "large", 500), 500.0/1900)
+	assert.Equal(t, l.Fraction(now, "large", 500), 2400.0/1900)
 	now = now.Add(window)
 	assert.Equal(t, l.Fraction(now, "large", 500), 0.0)
 	assert.Equal(t, len(l.Own(now)), 0)
 }
 
+// Guards against shares of a throughput that the engines do not reach: while
+// they read with empty caches, all workspaces are below their share of the
+// configured rate, and the one whose prompts are kept takes nearly all.
+func TestFractionOfThroughput(t *testing.T) {
+	tests := []struct {
+		name  string
+		rate  float64
+		uses  map[galenalatch.WorkspaceName]Use
+		wants map[galenalatch.WorkspaceName]float64
+	}{
+		{"all is begun", 1000, map[galenalatch.WorkspaceName]Use{"a": {Asked: 300, Begun: 300}, "b": {Asked: 900, Begun: 900}},
+			map[galenalatch.WorkspaceName]float64{"a": 0.25, "b": 0.75}},
+		{"one gets three times as much", 1000, map[galenalatch.WorkspaceName]Use{"a": {Asked: 2100, Begun: 600}, "b": {Asked: 2100, Begun: 1800}},
+			map[galenalatch.WorkspaceName]float64{"a": 0.5, "b": 1.5}},
+		{"the small one gets all it asks", 1000, map[galenalatch.WorkspaceName]Use{"a": {Asked: 200, Begun: 200}, "b": {Asked: 2000, Begun: 800}},
+			map[galenalatch.WorkspaceName]float64{"a": 0.25, "b": 1}},
+		{"alone", 1000, map[galenalatch.WorkspaceName]Use{"a": {Asked: 2000, Begun: 800}}, map[galenalatch.WorkspaceName]float64{"a": 1}},
+		{"no rate is configured", 0, map[galenalatch.WorkspaceName]Use{"a": {Asked: 2100, Begun: 600}, "b": {Asked: 2100, Begun: 1800}},
+			map[galenalatch.WorkspaceName]float64{"a": 0.5, "b": 1.5}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(4 * time.Second)
+			now := time.Unix(1000, 0)
+			for w, u := range tt.uses {
+				l.Add(now, w, u)
+			}
+			for w, want := range tt.wants {
+				assert.Equal(t, l.Fraction(now, w, tt.rate), want, "workspace %s", w)
+			}
+		})
+	}
+}
+
 // Guards against accounts that are kept for workspaces without requests.
 func TestOwnForgets(t *testing.T) {
 	l := New(time.Second)
--- a/internal/process/gateway/events.go
+++ b/internal/process/gateway/events.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
@@ -58,7 +59,8 @@
 // Placed implements host.Events.
 func (o observer) Placed(r galenalatch.RequestID, d host.Decision) {
 	o.log.Event(events.RequestPlaced, "request", r, "route", d.Route, "workspace", d.Workspace, "server", d.Server, "attempt", d.Attempt,
-		"configuration", d.Configuration, "proofAge", millis(d.ProofAge), "wait", millis(d.Wait), "cached", d.Cached, "cold", d.Cold, "waited", millis(d.Waited))
+		"configuration", d.Configuration, "proofAge", millis(d.ProofAge), "wait", millis(d.Wait), "cached", d.Cached, "cold", d.Cold, "waited", millis(d.Waited),
+		"share", hundredths(d.Share))
 }
 
 // Attempted implements host.Events.
@@ -73,7 +75,8 @@
 // Refused implements host.Events.
 func (o observer) Refused(r galenalatch.RequestID, d host.Decision, err error) {
 	o.log.Event(events.GatewayRefused, "request", r, "route", d.Route, "workspace", d.Workspace, "configuration", d.Configuration,
-		"proofAge", millis(d.ProofAge), "wait", millis(d.Wait), "waited", millis(d.Waited), "error", err)
+		"proofAge", millis(d.ProofAge), "wait", millis(d.Wait), "waited", millis(d.Waited),
+		"share", hundredths(d.Share), "error", err)
 	o.count.refusals.WithLabelValues(string(galenalatch.KindOf(err))).Inc()
 }
 
@@ -91,3 +94,8 @@
 func millis(d time.Duration) time.Duration {
 	return d.Round(time.Millisecond)
 }
+
+// hundredths shortens fractions in log lines.
+func hundredths(f float64) float64 {
+	return math.Round(f*100) / 100
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -185,14 +185,12 @@
 }
 
 // admit asks the policy, with what the workspace had of its share.
-func (g *Gateway) admit(now time.Time, d host.Demand, wait time.Duration) bool {
+func (g *Gateway) admit(now time.Time, d host.Demand) (share float64, ok bool) {
 	if d.Route.Kind != galenalatch.StreamWork {
-		return true
+		return 0, true
 	}
-	return g.policy.Admit(admission.Demand{
-		Aim: d.Route.Aim, Waited: d.Waited, Wait: wait,
-		Fraction: g.ledger.Fraction(now, d.Workspace, d.TokenRate),
-	})
+	share = g.ledger.Fraction(now, d.Workspace, d.TokenRate)
+	return share, g.policy.Admit(admission.Demand{Aim: d.Route.Aim, Waited: d.Waited, Wait: d.Wait, Fraction: share})
 }
 
 // Run serves until ctx ends, then drains. A second signal is not needed: the
