Keep the counts of windows when calls come in another order

Requests are counted with the time of their arrival, others with the time of their decision, so on a busy router this happened near each border of two parts. The budget of repeats was full again then, and the uses of a workspace were forgotten. The parts also followed the time of day, so a step of it did the same.

Change: internal/decide/window holds the one sliding window, on the steady clock; an earlier time counts as the latest. Budget and ledger use it.

--- a/internal/decide/budget/budget.go
+++ b/internal/decide/budget/budget.go
@@ -2,7 +2,11 @@
 // fleet.
 package budget
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenalatch/galenalatch/internal/decide/window"
+)
 
 // buckets is the number of parts into which the window is divided.
 const buckets = 20
@@ -17,41 +21,39 @@
 	Fixed  float64
 	Window time.Duration
 
-	requests [buckets]int
-	repeats  [buckets]int
-	at       int64
+	counts *window.Ring[count]
 }
 
-// advance drops what has left the window.
-func (b *Budget) advance(now time.Time) {
-	slot := now.UnixNano() / max(int64(b.Window)/(buckets-1), 1)
-	if slot-b.at >= buckets || slot < b.at {
-		b.requests, b.repeats, b.at = [buckets]int{}, [buckets]int{}, slot
-		return
-	}
-	for b.at < slot {
-		b.at++
-		b.requests[b.at%buckets], b.repeats[b.at%buckets] = 0, 0
+// count holds the requests and repeats of a part of the window.
+type count struct {
+	requests int
+	repeats  int
+}
+
+// ring returns the window. Its parts cover the whole window also while the
+// newest one has just begun.
+func (b *Budget) ring() *window.Ring[count] {
+	if b.counts == nil {
+		b.counts = window.New[count](b.Window/(buckets-1), buckets)
 	}
+	return b.counts
 }
 
 // Request counts a caller's request.
 func (b *Budget) Request(now time.Time) {
-	b.advance(now)
-	b.requests[b.at%buckets]++
+	b.ring().Part(now).requests++
 }
 
 // Repeat takes one repeat. It reports false when the window has none left.
 func (b *Budget) Repeat(now time.Time) bool {
-	b.advance(now)
 	requests, repeats := 0, 0
-	for i := range buckets {
-		requests += b.requests[i]
-		repeats += b.repeats[i]
+	for c := range b.ring().All(now) {
+		requests += c.requests
+		repeats += c.repeats
 	}
 	if float64(repeats+1) > b.Ratio*float64(requests)+b.Fixed {
 		return false
 	}
-	b.repeats[b.at%buckets]++
+	b.ring().Part(now).repeats++
 	return true
 }
--- a/internal/decide/budget/budget_test.go
+++ b/internal/decide/budget/budget_test.go
@@ -52,3 +52,16 @@
 	assert.Assert(t, !b.Repeat(now.Add(900*time.Millisecond)))
 	assert.Assert(t, b.Repeat(now.Add(1100*time.Millisecond)))
 }
+
+// Guards against a budget that is full again when a request is counted with
+// the time of its arrival, after a repeat of another request with a later
+// time: the repeats of the window were forgotten.
+func TestEarlierArrival(t *testing.T) {
+	b := Budget{Fixed: 2, Window: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	later := now.Add(3 * time.Second)
+	assert.Assert(t, b.Repeat(now))
+	assert.Assert(t, b.Repeat(later))
+	b.Request(now)
+	assert.Assert(t, !b.Repeat(later))
+}
--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/window"
 )
 
 const (
@@ -30,18 +31,12 @@
 	Begun float64
 }
 
-// account counts the uses of one workspace on this router.
-type account struct {
-	use [slots]Use
-	at  int64
-}
-
 // Ledger counts the uses of workspaces. It is safe for concurrent use.
 type Ledger struct {
 	window time.Duration
 
 	mu       sync.Mutex
-	accounts map[uint32]*account
+	accounts map[uint32]*window.Ring[Use]
 	remote   map[galenalatch.RouterID]remoteUse
 	// sums are the uses on all routers at levelAt, with own ones since.
 	sums     map[uint32]Use
@@ -55,9 +50,9 @@
 	uses map[uint32]Use
 }
 
-// New returns a ledger with a window.
-func New(window time.Duration) *Ledger {
-	return &Ledger{window: window, accounts: make(map[uint32]*account), remote: make(map[galenalatch.RouterID]remoteUse)}
+// New returns a ledger with a window of a length.
+func New(length time.Duration) *Ledger {
+	return &Ledger{window: length, accounts: make(map[uint32]*window.Ring[Use]), remote: make(map[galenalatch.RouterID]remoteUse)}
 }
 
 // Key returns the short name of a workspace.
@@ -71,40 +66,18 @@
 	defer l.mu.Unlock()
 	a, ok := l.accounts[Key(w)]
 	if !ok {
-		a = &account{}
+		a = window.New[Use](l.window/slots, slots)
 		l.accounts[Key(w)] = a
 	}
-	l.advance(a, now)
-	a.use[a.at%slots].Asked += u.Asked
-	a.use[a.at%slots].Begun += u.Begun
+	part := a.Part(now)
+	part.Asked += u.Asked
+	part.Begun += u.Begun
 	if l.sums != nil {
 		sum := l.sums[Key(w)]
 		l.sums[Key(w)] = Use{Asked: sum.Asked + u.Asked, Begun: sum.Begun + u.Begun}
 	}
 }
 
-// advance drops what has left the window.
-func (l *Ledger) advance(a *account, now time.Time) {
-	slot := now.UnixNano() / int64(l.window/slots)
-	if slot-a.at >= slots || slot < a.at {
-		a.use, a.at = [slots]Use{}, slot
-		return
-	}
-	for a.at < slot {
-		a.at++
-		a.use[a.at%slots] = Use{}
-	}
-}
-
-func (a *account) sum() Use {
-	var s Use
-	for _, u := range a.use {
-		s.Asked += u.Asked
-		s.Begun += u.Begun
-	}
-	return s
-}
-
 // Own returns the uses on this router within the window.
 func (l *Ledger) Own(now time.Time) map[uint32]Use {
 	l.mu.Lock()
@@ -115,8 +88,12 @@
 func (l *Ledger) own(now time.Time) map[uint32]Use {
 	uses := make(map[uint32]Use, len(l.accounts))
 	for k, a := range l.accounts {
-		l.advance(a, now)
-		if u := a.sum(); u.Asked > 0 || u.Begun > 0 {
+		var u Use
+		for part := range a.All(now) {
+			u.Asked += part.Asked
+			u.Begun += part.Begun
+		}
+		if u.Asked > 0 || u.Begun > 0 {
 			uses[k] = u
 		} else {
 			delete(l.accounts, k)
@@ -158,7 +135,7 @@
 func (l *Ledger) Fraction(now time.Time, w galenalatch.WorkspaceName, rate float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sums == nil || l.levelFor != rate || now.Sub(l.levelAt) >= levelTime {
+	if l.levelFor != rate || now.Sub(l.levelAt) >= levelTime {
 		l.sums = l.fleet(now)
 		capacity := 0.0
 		for _, u := range l.sums {
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -100,3 +100,21 @@
 	assert.Equal(t, len(l.Own(now.Add(2*time.Second))), 0)
 	assert.Equal(t, len(l.accounts), 0)
 }
+
+// Guards against uses that are forgotten when calls come with times in another
+// order, and against a level that stays when the configured rate changes or
+// its time has passed.
+func TestOrderAndLevel(t *testing.T) {
+	l := New(4 * time.Second)
+	now := time.Unix(1000, 0)
+	l.Add(now, "a", Use{Asked: 1000, Begun: 1000})
+	l.Add(now.Add(2*time.Second), "a", Use{Asked: 1000, Begun: 1000})
+	l.Add(now.Add(time.Second), "a", Use{Asked: 1000, Begun: 1000})
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, l.Own(now)[Key("a")], Use{Asked: 3000, Begun: 3000})
+	assert.Equal(t, l.Fraction(now, "a", 1000), 1.0)
+	assert.Equal(t, l.Fraction(now, "a", 500), 1.5, "another rate")
+	l.SetRemote(now, "r2", map[uint32]Use{Key("a"): {Asked: 1000, Begun: 1000}})
+	assert.Equal(t, l.Fraction(now, "a", 500), 1.5, "the level is kept for a time")
+	assert.Equal(t, l.Fraction(now.Add(levelTime), "a", 500), 2.0)
+}
--- a/internal/decide/warmup/server_test.go
+++ b/internal/decide/warmup/server_test.go
@@ -38,3 +38,22 @@
 	assert.Equal(t, s.Status(now)[0].State, Cold)
 	assert.Equal(t, s.Free(now), 2)
 }
+
+// Guards against a server that counts as warm while its limit is still below
+// the warm one, or as warming when it is reached.
+func TestStateFollowsLimit(t *testing.T) {
+	const cold, warm = 2, 4
+	now := time.Now()
+	s := New(Tuning{})
+	s.SetLimits(cold, warm)
+	s.Set([]galenalatch.Instance{{ID: "s", Address: "127.0.0.1:1"}})
+	s.SetLoad(now, "s", now, galenalatch.LoadReport{Boot: "b"}, nil)
+	for completed, want := range []State{Cold, Warming, Warm, Warm} {
+		assert.Equal(t, s.Status(now)[0].State, want, "after %d completed requests", completed)
+		assert.Equal(t, s.Free(now) == warm, want == Warm, "after %d completed requests", completed)
+		s.Start(now, uint64(completed+1), "s", "b")
+		s.Finish(now, uint64(completed+1), End{Completed: true})
+		now = now.Add(10 * time.Millisecond)
+		s.SetLoad(now, "s", now, galenalatch.LoadReport{Boot: "b"}, nil)
+	}
+}
--- a/internal/process/entry/entry_test.go
+++ b/internal/process/entry/entry_test.go
@@ -357,3 +357,29 @@
 		assert.Equal(t, b.runs, 2)
 	})
 }
+
+// Guards against the late message of an earlier holder: it must not confirm
+// or prolong the lease of the newer epoch, and a grant of the newer epoch
+// stays usable.
+func TestStaleLeaseState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.epoch, b.leaseEpoch = 2, 2
+		now := time.Now()
+		state := func(epoch galenalatch.Epoch, remaining int64) {
+			b.entry.Handle("d", galenalatch.LeaseState{Cell: cell, Epoch: epoch, Echo: int64(now.Sub(b.entry.base)), RemainingMillis: remaining})
+		}
+		grant := func(epoch galenalatch.Epoch) error {
+			b.entry.mu.Lock()
+			defer b.entry.mu.Unlock()
+			return b.entry.checkLease(time.Now(), cell, epoch)
+		}
+		state(2, 1000)
+		assert.NilError(t, grant(2))
+		state(1, 60_000)
+		assert.NilError(t, grant(2), "the lease of epoch 2 stays confirmed")
+		assert.Equal(t, galenalatch.KindOf(grant(1)), galenalatch.KindStaleGrant)
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, galenalatch.KindOf(grant(2)), galenalatch.KindStaleGrant, "an older holder prolongs nothing")
+	})
+}
