--- a/internal/decide/proof/tracker_test.go
+++ b/internal/decide/proof/tracker_test.go
@@ -48,6 +48,13 @@
 	k.Observe(6000*ms, 6004*ms, 10*ms)
 	age, _ = k.Age(6004 * ms)
 	assert.Equal(t, age, 4*ms)
+	assert.Equal(t, k.Uncertainty(), 4*ms)
+
+	// It has started again with a higher reading.
+	k.Observe(7000*ms, 7004*ms, 100_000*ms)
+	age, _ = k.Age(7004 * ms)
+	assert.Equal(t, age, 4*ms)
+	assert.Equal(t, k.Uncertainty(), 4*ms)
 }
 
 // Guards against proofs from the future for any delays: the age is never
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -95,3 +95,37 @@
 		})
 	}
 }
+
+// Guards against rows that cannot be read and end the feed or name routers,
+// against a removal that is written more often than the pause allows, and
+// against a router that cannot leave because it has just removed another one.
+func TestRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rows.New()
+		a, b := join(t, store, "r1"), join(t, store, "r2")
+		for key, value := range map[string]string{"router/junk": "[1", "router/empty": "{}", "other": "x"} {
+			assert.NilError(t, store.Write(t.Context(), table, galenalatch.StoreRow{Key: key, Value: []byte(value)}))
+		}
+		for _, id := range []string{"r3", "r4"} {
+			assert.NilError(t, store.Write(t.Context(), table, galenalatch.StoreRow{Key: memberPrefix + id, Value: []byte(`{"address":"10.0.0.9:1"}`)}))
+		}
+		time.Sleep(20 * time.Second)
+		all := []galenalatch.RouterID{"r1", "r2", "r3", "r4"}
+		assert.DeepEqual(t, a.members(), all)
+
+		calls := store.Calls()
+		assert.NilError(t, a.list.Remove(t.Context(), "unknown"))
+		assert.Equal(t, store.Calls(), calls)
+		assert.NilError(t, a.list.Remove(t.Context(), "r3"))
+		assert.NilError(t, a.list.Remove(t.Context(), "r4"))
+		time.Sleep(writePause - 1)
+		assert.DeepEqual(t, a.members(), []galenalatch.RouterID{"r1", "r2", "r4"})
+		time.Sleep(1)
+		assert.NilError(t, a.list.Remove(t.Context(), "r4"))
+		assert.NilError(t, a.list.Leave(t.Context()))
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, b.members(), []galenalatch.RouterID{"r2"})
+		a.cancel()
+		b.cancel()
+	})
+}
--- a/internal/fleet/relay/store_test.go
+++ b/internal/fleet/relay/store_test.go
@@ -121,3 +121,53 @@
 	assert.Equal(t, u.Version, uint64(9))
 	assert.Equal(t, len(u.Gone), 0)
 }
+
+// Guards against feeds of which only some are passed on, against failed calls
+// that are, and against a listening router that waits when it asks for
+// everything or must not wait.
+func TestEachFeedIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		p.store.Configure(&galenalatch.Configuration{Version: 1})
+		ctx := t.Context()
+		calls := map[string]func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error){
+			operators: func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error) {
+				u, err := s.Operators(ctx, after, wait)
+				return u.Position, err
+			},
+			servers: func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error) {
+				u, err := s.Servers(ctx, after, wait)
+				return u.Position, err
+			},
+			"routers": func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error) {
+				u, err := s.Rows(ctx, "routers", after, wait)
+				return u.Position, err
+			},
+		}
+		for feed, call := range calls {
+			first, err := call(p.listen, galenalatch.Everything, wait)
+			assert.NilError(t, err)
+			assert.Assert(t, !first.Relayed, "%s: everything is read from the store", feed)
+			begun := time.Now()
+			_, err = call(p.listen, first.Version, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, time.Since(begun), time.Duration(0), "%s: a call that must not wait", feed)
+			got := make(chan galenalatch.Position, 1)
+			go func() {
+				next, err := call(p.listen, first.Version, wait)
+				assert.Check(t, err)
+				got <- next
+			}()
+			synctest.Wait()
+			_, err = call(p.relay, first.Version, wait)
+			assert.NilError(t, err)
+			assert.Assert(t, (<-got).Relayed, "%s", feed)
+
+			p.store.SetFault(rows.Refusing)
+			_, err = call(p.relay, first.Version, wait)
+			assert.Assert(t, err != nil)
+			p.store.SetFault(rows.Sound)
+			assert.Equal(t, len(p.listen.kept[feed]), 0, "%s: a failed call proves nothing", feed)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/use/outbox_test.go
@@ -0,0 +1,74 @@
+package use
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/topology"
+)
+
+// Guards against messages that repeat the one before each time, and against
+// changes that are held back.
+func TestOutbox(t *testing.T) {
+	server := func(running uint16) galenalatch.RouterUse {
+		return galenalatch.RouterUse{Servers: []galenalatch.ServerUse{{Server: 1, Running: running}}}
+	}
+	workspace := func(asked uint32) galenalatch.RouterUse {
+		return galenalatch.RouterUse{Workspaces: []galenalatch.WorkspaceUse{{Workspace: 1, Asked: asked}}}
+	}
+	tests := []struct {
+		name   string
+		before galenalatch.RouterUse
+		pause  time.Duration
+		now    galenalatch.RouterUse
+		due    bool
+	}{
+		{"nothing has changed", server(1), repeatAfter - 1, server(1), false},
+		{"long ago", server(1), repeatAfter, server(1), true},
+		{"a server has changed", server(1), time.Millisecond, server(2), true},
+		{"a workspace has changed", workspace(1), time.Millisecond, workspace(2), true},
+		{"the last request has ended", server(1), time.Millisecond, galenalatch.RouterUse{}, true},
+		{"idle", galenalatch.RouterUse{}, repeatAfter, galenalatch.RouterUse{}, false},
+		{"idle for long", galenalatch.RouterUse{}, idleAfter, galenalatch.RouterUse{}, true},
+		{"first request", galenalatch.RouterUse{}, time.Millisecond, workspace(1), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := outbox{last: tt.before, at: time.Unix(1000, 0)}
+			assert.Equal(t, o.due(o.at.Add(tt.pause), tt.now), tt.due)
+		})
+	}
+}
+
+// Guards against a relay that takes the sum of the other relay of its data
+// centre for its own view, and against listening routers that take none.
+func TestRelaysDoNotListenToEachOther(t *testing.T) {
+	var list []galenalatch.Instance
+	for i := range topology.SmallFleet + 2 {
+		list = append(list, galenalatch.Instance{
+			ID: fmt.Sprint("r", i), Role: galenalatch.RouterRole, Address: "127.0.0.1:1", DataCentre: galenalatch.DataCentre("ab"[i%2 : i%2+1]),
+		})
+	}
+	first := topology.New("r0", "a", list)
+	relays := first.Relays["a"]
+	listener := first.In("a")[slices.IndexFunc(first.In("a"), func(r galenalatch.RouterID) bool { return !slices.Contains(relays, r) })]
+	for _, self := range []galenalatch.RouterID{relays[1], listener} {
+		p := newPeer(t, self, "a")
+		assert.NilError(t, p.SetPeers(list, topology.New(self, "a", list), "token-of-the-fleet"))
+		p.receive(relays[0], galenalatch.ElsewhereUse{Use: galenalatch.RouterUse{
+			Workspaces: []galenalatch.WorkspaceUse{{Workspace: share.Key("large"), Asked: 5, Begun: 5}},
+		}})
+		// 5,000 of the 4,000 tokens that fit into the window.
+		want := 1.25
+		if self == relays[1] {
+			want = 0
+		}
+		assert.Equal(t, p.ledger.Fraction(time.Now(), "large", 1000), want, "%s", self)
+	}
+}
