Test invalid configurations, calls of small fleets and bounds of cold servers

Cause: mutants of these decisions were not noticed.

Change: three tests; the outbox asks once whether a message is empty, since an equal one before it is empty too.

Measured: the tests pass.

--- a/internal/decide/placement/server_test.go
+++ b/internal/decide/placement/server_test.go
@@ -17,11 +17,24 @@
 	for i := range 9 {
 		members = append(members, galenalatch.RouterID(fmt.Sprint("r", i)))
 	}
-	// 7.3 requests a second, one and a half times as many and 5 more, a fifth.
-	const each = 3
+	tests := []struct {
+		rate float64
+		each int
+	}{
+		// One and a half times the rate and 5 more, a fifth of it.
+		{7.3, 3},
+		{10, 4},
+	}
+	for _, tt := range tests {
+		testColdOwners(t, members, tt.rate, tt.each)
+	}
+}
+
+func testColdOwners(t *testing.T, members []galenalatch.RouterID, rate float64, each int) {
 	owners := 0
 	for _, m := range members {
 		table := newTable(m, 0)
+		table.SetServices(map[string]galenalatch.Service{pool: {Name: pool, Engine: true, ColdTime: 3 * time.Second, ColdRate: rate}})
 		table.SetMembers(members)
 		r := registration(0)
 		r.ColdFor = 10 * time.Second
--- a/internal/fleet/relay/store_test.go
+++ b/internal/fleet/relay/store_test.go
@@ -171,3 +171,17 @@
 		}
 	})
 }
+
+// Guards against routers of a small fleet whose calls are as short as those
+// of a relaying router.
+func TestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Store: rows.New(), Send: func(galenalatch.StoreAnswer) { t.Error("an answer was passed on") }})
+		u, err := s.Servers(t.Context(), galenalatch.Everything, wait)
+		assert.NilError(t, err)
+		begun := time.Now()
+		_, err = s.Servers(t.Context(), u.Version, wait)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begun), wait)
+	})
+}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -182,3 +183,34 @@
 		assert.ErrorIs(t, <-done, context.Canceled)
 	})
 }
+
+// invalid is a store whose operators' rows cannot be read.
+type invalid struct{ *rows.Store }
+
+// Operators implements galenalatch.Store.
+func (s invalid) Operators(ctx context.Context, after uint64, wait time.Duration) (galenalatch.OperatorUpdate, error) {
+	u, err := s.Store.Operators(ctx, after, wait)
+	u.Invalid = append(u.Invalid, errors.New("configuration: not an object"))
+	return u, err
+}
+
+// Guards against a router that takes a configuration that cannot be read for
+// read, against one that drops the configuration it has for it, and against a
+// version that is applied again.
+func TestInvalidConfiguration(t *testing.T) {
+	store := rows.New()
+	events := &quiet{}
+	v := New(Options{
+		Store: invalid{store}, Table: placement.New(placement.Options{}), Clock: func() time.Duration { return 0 }, Events: events,
+	})
+	_, err := v.readOperators(t.Context(), galenalatch.Everything, 0, 0)
+	assert.ErrorContains(t, err, "not an object")
+	assert.Assert(t, v.Configuration() == nil)
+	for range 2 {
+		store.Configure(&galenalatch.Configuration{Version: 5})
+		_, err = v.readOperators(t.Context(), galenalatch.Everything, 0, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, v.Configuration().Version, uint64(5))
+	}
+	assert.DeepEqual(t, events.lines, []string{"invalid", "invalid", "applied", "invalid"})
+}
--- a/internal/peer/use/outbox.go
+++ b/internal/peer/use/outbox.go
@@ -24,7 +24,7 @@
 // due reports whether a message should be sent now, and notes that it is.
 func (o *outbox) due(now time.Time, m galenalatch.RouterUse) bool {
 	limit := repeatAfter
-	if empty(m) && empty(o.last) {
+	if len(m.Servers)+len(m.Workspaces) == 0 {
 		limit = idleAfter
 	}
 	if now.Sub(o.at) < limit && slices.Equal(m.Servers, o.last.Servers) && slices.Equal(m.Workspaces, o.last.Workspaces) {
@@ -33,7 +33,3 @@
 	o.last, o.at = m, now
 	return true
 }
-
-func empty(m galenalatch.RouterUse) bool {
-	return len(m.Servers)+len(m.Workspaces) == 0
-}
