Encode relayed answers with camel case names and stop the soak's gateways together

Cause: the parts of relayed store answers were encoded with the names of Go fields, own formats use camel case. The soak stopped gateways one after the other, each for its notice to the balancer: 80 s with 40 gateways.

--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -203,21 +203,26 @@
 	}
 }
 
-// term stops a gateway in good order.
-func (f *soakFleet) term(g *gatewayProcess) {
-	if g.paused {
-		f.signal(g, syscall.SIGCONT)
-		g.paused = false
+// stop ends all gateways in good order.
+func (f *soakFleet) stop() {
+	for _, g := range f.gateways {
+		if g.paused {
+			f.signal(g, syscall.SIGCONT)
+			g.paused = false
+		}
+		f.signal(g, syscall.SIGTERM)
 	}
-	f.signal(g, syscall.SIGTERM)
-	select {
-	case err := <-g.ended:
-		if err != nil {
-			f.errors = append(f.errors, fmt.Sprintf("%s ended with %v", g.id, err))
+	limit := time.Now().Add(soakDrain + 2*time.Second)
+	for _, g := range f.gateways {
+		select {
+		case err := <-g.ended:
+			if err != nil {
+				f.errors = append(f.errors, fmt.Sprintf("%s ended with %v", g.id, err))
+			}
+			g.ended <- err
+		case <-time.After(max(time.Until(limit), 10*time.Millisecond)):
+			f.errors = append(f.errors, g.id+" did not end after SIGTERM")
 		}
-		g.ended <- err
-	case <-time.After(soakDrain + 2*time.Second):
-		f.errors = append(f.errors, g.id+" did not end after SIGTERM")
 	}
 }
 
@@ -322,13 +327,6 @@
 	assert.NilError(f.t, f.store.Configure(c))
 }
 
-// stop ends all gateways in good order.
-func (f *soakFleet) stop() {
-	for _, g := range f.gateways {
-		f.term(g)
-	}
-}
-
 // faults returns the broken promises that the backend servers saw.
 func (f *soakFleet) faults() []string {
 	faults := f.errors
--- a/configuration.go
+++ b/configuration.go
@@ -20,35 +20,35 @@
 
 // Target is a service that gets a share of a route's requests.
 type Target struct {
-	Service string
-	Weight  int
+	Service string `cbor:"service"`
+	Weight  int    `cbor:"weight"`
 }
 
 // HostRoute sends the requests for a host and a path prefix to a service.
 type HostRoute struct {
-	Name string
-	Host string
+	Name string `cbor:"name"`
+	Host string `cbor:"host"`
 	// Prefix begins and ends with a slash.
-	Prefix  string
-	Kind    WorkKind
-	Targets []Target
+	Prefix  string   `cbor:"prefix"`
+	Kind    WorkKind `cbor:"kind"`
+	Targets []Target `cbor:"targets"`
 	// Timeout is the longest time that a request may be held.
-	Timeout time.Duration
+	Timeout time.Duration `cbor:"timeout"`
 	// Aim is the time within which an answer, or the first event of a
 	// stream, has its full value.
-	Aim time.Duration
+	Aim time.Duration `cbor:"aim"`
 	// GapAim is the longest pause between events of a stream in time.
-	GapAim time.Duration
+	GapAim time.Duration `cbor:"gapAim"`
 	// Priority is the rank of the requests; 0 is the highest.
-	Priority int
+	Priority int `cbor:"priority"`
 	// MaxAttempts bounds the backend servers that one request may reach.
-	MaxAttempts int
+	MaxAttempts int `cbor:"maxAttempts"`
 	// Public routes need no key.
-	Public bool
+	Public bool `cbor:"public"`
 	// Sticky requests name the parts of their prompts.
-	Sticky bool
+	Sticky bool `cbor:"sticky"`
 	// Resumable streams go on at another backend server after an event.
-	Resumable bool
+	Resumable bool `cbor:"resumable"`
 }
 
 // Repeatable reports whether a request of the route may run again after a
@@ -59,50 +59,50 @@
 
 // Service is a pool of backend servers that serve the same work.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name       string `cbor:"name"`
+	HealthPath string `cbor:"healthPath"`
 	// MaxConnections bounds the connections of one server from all routers.
-	MaxConnections int
+	MaxConnections int `cbor:"maxConnections"`
 	// ColdTime is how long a server is cold after its start.
-	ColdTime time.Duration
+	ColdTime time.Duration `cbor:"coldTime"`
 	// ColdRate is the number of requests a second that a cold server bears.
-	ColdRate float64
+	ColdRate float64 `cbor:"coldRate"`
 	// Engine says that the servers are model engines.
-	Engine bool
+	Engine bool `cbor:"engine"`
 	// CacheTokens is the memory of one engine for prompts, in tokens.
-	CacheTokens int
+	CacheTokens int `cbor:"cacheTokens"`
 }
 
 // CallerLimits bound what callers send. Zero means no limit.
 type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `cbor:"headerBytes"`
+	BodyBytes     int64         `cbor:"bodyBytes"`
+	HeaderTimeout time.Duration `cbor:"headerTimeout"`
+	IdleTimeout   time.Duration `cbor:"idleTimeout"`
 	// TokenRate is the number of tokens a second that all engines process
 	// together; generated tokens count twice.
-	TokenRate float64
+	TokenRate float64 `cbor:"tokenRate"`
 }
 
 // Owner is the workspace of a key.
 type Owner struct {
-	Workspace WorkspaceName
+	Workspace WorkspaceName `cbor:"workspace"`
 	// Priority replaces the route's rank when HasPriority is set.
-	Priority    int
-	HasPriority bool
+	Priority    int  `cbor:"priority"`
+	HasPriority bool `cbor:"hasPriority"`
 }
 
 // Configuration is one version of what operators configured. It is not
 // changed after it was made.
 type Configuration struct {
-	Version  uint64
-	Routes   []HostRoute
-	Services map[string]Service
-	Limits   CallerLimits
+	Version  uint64             `cbor:"version"`
+	Routes   []HostRoute        `cbor:"routes"`
+	Services map[string]Service `cbor:"services"`
+	Limits   CallerLimits       `cbor:"limits"`
 	// Keys maps the callers' keys to workspaces. Keyed says that requests of
 	// routes that are not public need one.
-	Keys  map[string]Owner
-	Keyed bool
+	Keys  map[string]Owner `cbor:"keys"`
+	Keyed bool             `cbor:"keyed"`
 }
 
 // Match returns the route of the host with the longest prefix of the path.
--- a/internal/decide/placement/server_test.go
+++ b/internal/decide/placement/server_test.go
@@ -140,3 +140,22 @@
 	table.First(at.Add(q.cost), q)
 	assert.Equal(t, s.backlog(at.Add(q.cost)), time.Duration(0))
 }
+
+// Guards against predictions and preferences that count one slot too many or
+// too few.
+func TestLastSlot(t *testing.T) {
+	table := newTable("r1", 1)
+	s := table.servers["s0"]
+	s.duration = 640 * time.Millisecond
+	assert.Equal(t, s.full(s.Slots-1), time.Duration(0), "one slot is free")
+	assert.Equal(t, s.full(s.Slots), 10*time.Millisecond, "the next slot")
+	assert.Equal(t, s.full(s.Slots+1), 20*time.Millisecond)
+
+	score := func(running int) time.Duration {
+		s.running = running
+		return table.price(start, s, Ask{Service: "plain"}, nil, false, false).score
+	}
+	const slots = 64
+	assert.Equal(t, score(slots-1), plainCost)
+	assert.Equal(t, score(slots), 2*plainCost*(slots+1)/slots, "all slots are taken")
+}
--- a/registration.go
+++ b/registration.go
@@ -9,19 +9,19 @@
 
 // Registration is what a backend server has published about itself.
 type Registration struct {
-	ID         ServerID
-	Service    string
-	Address    string
-	DataCentre DataCentre
-	Slots      int
+	ID         ServerID   `cbor:"id"`
+	Service    string     `cbor:"service"`
+	Address    string     `cbor:"address"`
+	DataCentre DataCentre `cbor:"dataCentre"`
+	Slots      int        `cbor:"slots"`
 	// Leaving servers finish their requests and get no new ones.
-	Leaving bool
+	Leaving bool `cbor:"leaving"`
 	// ColdFor is how long the server stays cold, counted from the time of
 	// the entry.
-	ColdFor time.Duration
+	ColdFor time.Duration `cbor:"coldFor"`
 	// Started identifies one start of the server: Unix time in milliseconds,
 	// or 0 when it is not published.
-	Started int64
+	Started int64 `cbor:"started"`
 }
 
 // Position is the place in the store's history that an update shows.
@@ -63,12 +63,12 @@
 
 // StoreRow is a row of one of the system's own tables.
 type StoreRow struct {
-	Key   string
-	Value []byte
+	Key   string `cbor:"key"`
+	Value []byte `cbor:"value"`
 	// Version changes with every write; 0 stands for a row that does not
 	// exist.
-	Version uint64
-	Deleted bool
+	Version uint64 `cbor:"version"`
+	Deleted bool   `cbor:"deleted"`
 }
 
 // RowUpdate is what has changed in one of the system's own tables.
