Check the seal of each answer that continues a stream

A stream broke after its fifth event and was resumed at a server whose answer had no seal of the service. Only the first answer of a stream was checked, so the body of the second one became the end of the stream.

Change: each answer is checked before its events are passed on.

Tests: TestStreams, rest without the service's seal, fails on the code before: the caller got event 1 and another server's text as a whole answer.

--- a/cmd/galenalatch/soak_test.go
+++ b/cmd/galenalatch/soak_test.go
@@ -34,6 +34,7 @@
 }{
 	{1, "a slow first call of the store left the proofs of a gateway 0.6 s too old, so that it refused keys for good"},
 	{106, "SIGHUP ended a gateway that had just started and did not ask for the signal yet"},
+	{4016, "the rest of a stream was taken from an answer without the service's seal"},
 	{148, "a port of the soak was in the range of outgoing connections; another process answered the callers"},
 }
 
--- a/internal/caller/host/answer.go
+++ b/internal/caller/host/answer.go
@@ -169,11 +169,11 @@
 // dropped, so that the stream can go on after the last whole one.
 func (t *task) stream(ctx context.Context, a *exchange.Answer, p *placement.Place) error {
 	flush := http.NewResponseController(t.w)
+	if !a.Head.Sealed {
+		a.Abort()
+		return errors.New("the answer does not come from the service")
+	}
 	if !t.begun {
-		if !a.Head.Sealed {
-			a.Abort()
-			return errors.New("the answer does not come from the service")
-		}
 		// Errors show up when the events are written.
 		_ = flush.SetWriteDeadline(t.arrival.Add(t.limit + writeTime))
 	}
--- a/internal/caller/host/handler_test.go
+++ b/internal/caller/host/handler_test.go
@@ -114,6 +114,15 @@
 		assert.Equal(t, a.body, all)
 		assert.Equal(t, f.runs("r-1"), 2)
 	})
+	t.Run("rest without the service's seal", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.servers[0].Set(worker.Torn)
+		f.servers[1].Set(worker.Unsealed)
+		a := f.call(t.Context(), "POST", "/stream/1", "r-1", "")
+		assert.Assert(t, a.err != nil, "a broken stream must not look whole: %q", a.body)
+		assert.Equal(t, a.body, all[:len(all)/3])
+		assert.Equal(t, f.servers[1].Runs("r-1"), 1)
+	})
 	t.Run("caller resumes", func(t *testing.T) {
 		f := newFixture(t, configuration())
 		a := f.call(t.Context(), "POST", "/stream/1", "r-1", "", headers.LastEvent, "2")
