Read the text of a bad stream once in the test's handler

Its handler read the shared text again after the flush, while the test, which had its answer by then, set the next text. The handler ends later than the answer, so nothing orders the two.

Change: the handler reads the text once, before it answers.

Measured: six processes of the race build at once, 150 runs of the test in each: the detector reports the race in 5 of 6 processes before (it reports a place once for each process) and in none after.

--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -219,10 +219,12 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", s)
 	mux.HandleFunc("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		// The test sets the next text as soon as this one is read.
+		answer := text
 		w.Header().Set("Content-Type", "text/event-stream")
-		_, _ = w.Write([]byte(text))
+		_, _ = w.Write([]byte(answer))
 		_ = http.NewResponseController(w).Flush()
-		if strings.HasSuffix(text, "[DONE]\n\n") {
+		if strings.HasSuffix(answer, "[DONE]\n\n") {
 			<-r.Context().Done()
 		}
 	})
