Load the settings of all programs by one package

Cause: config/gateway, config/settings and config/standin each read, decoded, checked and printed their documents by a copy of the same code.

Change: internal/config/document does it once; the packages keep their types, defaults and faults.

Measured: the tests of internal/config pass unchanged.

--- a/internal/config/gateway/settings.go
+++ b/internal/config/gateway/settings.go
@@ -3,22 +3,14 @@
 package gateway
 
 import (
-	"encoding/json"
-	"errors"
-	"fmt"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/check"
+	"github.com/galenalatch/galenalatch/internal/config/document"
 	"github.com/galenalatch/galenalatch/internal/config/duration"
-	"github.com/galenalatch/galenalatch/internal/config/strict"
 )
 
-// maxFaults bounds the faults that one error lists.
-const maxFaults = 20
-
 // Settings are the settings of one gateway process.
 type Settings struct {
 	// ID is the instance's name. It is the same after a restart.
@@ -102,36 +94,23 @@
 
 // Load reads and checks the document in the file at path.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, fmt.Errorf("settings: %w", err)
-	}
-	s, err := Parse(data)
-	if err != nil {
-		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
-	}
-	return s, nil
+	return document.Load("settings", path, Parse)
 }
 
 var checker = check.New()
 
 // Parse decodes and checks a document.
 func Parse(data []byte) (Settings, error) {
-	s := Default()
-	if err := strict.Decode(data, &s); err != nil {
-		return Settings{}, err
-	}
-	if faults, _ := checker.Faults(s, maxFaults); len(faults) > 0 {
-		return Settings{}, errors.New(strings.Join(faults, "\n"))
-	}
-	return s, nil
+	return document.Parse(data, Default())
+}
+
+// Faults implements document.Checked.
+func (s Settings) Faults() []string {
+	faults, _ := checker.Faults(s, document.MaxFaults)
+	return faults
 }
 
 // String returns the settings as an indented JSON document.
 func (s Settings) String() string {
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return err.Error()
-	}
-	return string(data)
+	return document.String(s)
 }
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -3,25 +3,18 @@
 package settings
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/check"
+	"github.com/galenalatch/galenalatch/internal/config/document"
 	"github.com/galenalatch/galenalatch/internal/config/duration"
 	"github.com/galenalatch/galenalatch/internal/config/secret"
-	"github.com/galenalatch/galenalatch/internal/config/strict"
 )
 
-// maxFaults bounds the faults that one error lists.
-const maxFaults = 20
-
 // Settings are the settings of one router process. Secrets are referred to,
 // never contained, so settings can be printed.
 type Settings struct {
@@ -112,27 +105,12 @@
 
 // Load reads and checks the document in the file at path.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, fmt.Errorf("settings: %w", err)
-	}
-	s, err := Parse(data)
-	if err != nil {
-		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
-	}
-	return s, nil
+	return document.Load("settings", path, Parse)
 }
 
 // Parse decodes and checks a document.
 func Parse(data []byte) (Settings, error) {
-	s := Default()
-	if err := strict.Decode(data, &s); err != nil {
-		return Settings{}, err
-	}
-	if err := s.Check(); err != nil {
-		return Settings{}, err
-	}
-	return s, nil
+	return document.Parse(data, Default())
 }
 
 var checker = check.New()
@@ -140,14 +118,16 @@
 // Check returns an error that lists the faults of s, each with its field,
 // its value and what is allowed.
 func (s Settings) Check() error {
-	faults, _ := checker.Faults(s, maxFaults)
-	if len(faults) == 0 {
-		faults = slices.Concat(s.listenFaults(), s.leaseFaults(), s.debugFaults())
-	}
-	if len(faults) == 0 {
-		return nil
+	return document.Check(s)
+}
+
+// Faults implements document.Checked.
+func (s Settings) Faults() []string {
+	faults, _ := checker.Faults(s, document.MaxFaults)
+	if len(faults) > 0 {
+		return faults
 	}
-	return errors.New(strings.Join(faults, "\n"))
+	return slices.Concat(s.listenFaults(), s.leaseFaults(), s.debugFaults())
 }
 
 // listenFaults finds addresses that differ but cannot be bound together.
@@ -195,9 +175,5 @@
 
 // String returns the settings as an indented JSON document.
 func (s Settings) String() string {
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return err.Error()
-	}
-	return string(data)
+	return document.String(s)
 }
--- a/internal/config/standin/settings.go
+++ b/internal/config/standin/settings.go
@@ -3,22 +3,15 @@
 package standin
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/check"
-	"github.com/galenalatch/galenalatch/internal/config/strict"
+	"github.com/galenalatch/galenalatch/internal/config/document"
 )
 
-// maxFaults bounds the faults that one error lists.
-const maxFaults = 20
-
 // Settings are the settings of one fleet's stand-ins.
 type Settings struct {
 	Platform Platform `json:"platform"`
@@ -35,13 +28,9 @@
 // Load reads and checks the document in the file at path. The path of the
 // catalogue in it counts from the directory of this file.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, fmt.Errorf("stand-in settings: %w", err)
-	}
-	s, err := Parse(data)
+	s, err := document.Load("stand-in settings", path, Parse)
 	if err != nil {
-		return Settings{}, fmt.Errorf("stand-in settings %s: %w", path, err)
+		return Settings{}, err
 	}
 	if s.Platform.Catalogue != "" && !filepath.IsAbs(s.Platform.Catalogue) {
 		s.Platform.Catalogue = filepath.Join(filepath.Dir(path), s.Platform.Catalogue)
@@ -51,27 +40,15 @@
 
 // Parse decodes and checks a document.
 func Parse(data []byte) (Settings, error) {
-	s := Settings{Platform: defaultPlatform()}
-	if err := strict.Decode(data, &s); err != nil {
-		return Settings{}, err
-	}
-	if err := s.Check(); err != nil {
-		return Settings{}, err
-	}
-	return s, nil
+	return document.Parse(data, Settings{Platform: defaultPlatform()})
 }
 
 var checker = check.New()
 
-// Check returns an error that lists the faults of s, each with its field,
-// its value and what is allowed.
-func (s Settings) Check() error {
-	faults, _ := checker.Faults(s, maxFaults)
-	faults = append(faults, s.instanceFaults()...)
-	if len(faults) == 0 {
-		return nil
-	}
-	return errors.New(strings.Join(faults[:min(maxFaults, len(faults))], "\n"))
+// Faults implements document.Checked.
+func (s Settings) Faults() []string {
+	faults, _ := checker.Faults(s, document.MaxFaults)
+	return append(faults, s.instanceFaults()...)
 }
 
 func (s Settings) instanceFaults() []string {
@@ -109,9 +86,5 @@
 
 // String returns the settings as an indented JSON document.
 func (s Settings) String() string {
-	data, err := json.MarshalIndent(s, "", "  ")
-	if err != nil {
-		return err.Error()
-	}
-	return string(data)
+	return document.String(s)
 }
