Print why calls of a load had no answer

Cause: a scenario that fails with "a call ended as unreached" does not say whether the router refused the connection or the call timed out.

Change: results keep the error of the first call with each outcome; load prints them below the table.

--- a/cmd/galenalatch/load_test.go
+++ b/cmd/galenalatch/load_test.go
@@ -155,7 +155,7 @@
 	end := strings.Index(lines[0], "FIRST P50")
 	rows := 0
 	for _, l := range lines[1:] {
-		if len(l) < end || strings.HasPrefix(l, "servers:") {
+		if len(l) < end || strings.HasPrefix(l, "servers:") || strings.HasPrefix(l, "first ") {
 			continue
 		}
 		rows++
@@ -185,7 +185,7 @@
 	lines := strings.Split(string(data), "\n")
 	from, to := strings.Index(lines[0], "P95"), strings.Index(lines[0], "TOTAL P50")
 	for _, l := range lines[1:] {
-		if len(l) < to || strings.HasPrefix(l, "servers:") {
+		if len(l) < to || strings.HasPrefix(l, "servers:") || strings.HasPrefix(l, "first ") {
 			continue
 		}
 		got, err := time.ParseDuration(strings.TrimSpace(l[from:to]))
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -99,6 +99,7 @@
 	w.generator.results.Add(result.Call{
 		Row:     result.Row{Workspace: string(w.caller.Workspace), Work: w.work()},
 		Outcome: e.outcome,
+		Err:     e.err,
 		Wrong:   wrong || e.wrong,
 		Tries:   e.tries,
 		Refused: e.refused,
--- a/internal/load/generator/try.go
+++ b/internal/load/generator/try.go
@@ -29,6 +29,7 @@
 // end is the end of one try.
 type end struct {
 	outcome    string
+	err        error
 	wrong      bool
 	request    string
 	body       string
@@ -58,7 +59,7 @@
 	}
 	resp, err := w.generator.client.Do(r)
 	if err != nil {
-		return end{outcome: unsent, retryAfter: 100 * time.Millisecond}
+		return end{outcome: unsent, err: err, retryAfter: 100 * time.Millisecond}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	e := end{request: resp.Header.Get("X-Request-Id")}
@@ -72,7 +73,7 @@
 	e.first = time.Since(began)
 	e.body = string(data)
 	if err != nil {
-		e.outcome = cut
+		e.outcome, e.err = cut, err
 		return e
 	}
 	e.outcome = answered
--- a/internal/load/result/result.go
+++ b/internal/load/result/result.go
@@ -28,6 +28,8 @@
 	Row Row
 	// Outcome is "answered" or the last outcome that the caller was told.
 	Outcome string
+	// Err says why the last try has no answer, if the caller knows.
+	Err error
 	// Wrong is set when the answer was not the whole answer to this call.
 	Wrong bool
 	Tries int
@@ -59,11 +61,13 @@
 type Results struct {
 	mu    sync.Mutex
 	lines map[Row]*line
+	// reasons are the errors of the first call with each outcome.
+	reasons map[string]error
 }
 
 // New returns empty results.
 func New() *Results {
-	return &Results{lines: make(map[Row]*line)}
+	return &Results{lines: make(map[Row]*line), reasons: make(map[string]error)}
 }
 
 // Add records a call.
@@ -83,6 +87,9 @@
 	}
 	if c.Outcome != "answered" {
 		l.others[c.Outcome]++
+		if r.reasons[c.Outcome] == nil && c.Err != nil {
+			r.reasons[c.Outcome] = c.Err
+		}
 		return
 	}
 	l.answered++
@@ -104,6 +111,18 @@
 	return calls, answered, wrong
 }
 
+// Reasons returns a line for each outcome with the error of its first call, in
+// the order of the outcomes.
+func (r *Results) Reasons() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lines []string
+	for _, o := range slices.Sorted(maps.Keys(r.reasons)) {
+		lines = append(lines, fmt.Sprintf("first %s: %v", o, r.reasons[o]))
+	}
+	return lines
+}
+
 // Write prints the table.
 func (r *Results) Write(w io.Writer) error {
 	r.mu.Lock()
--- a/internal/process/command/load.go
+++ b/internal/process/command/load.go
@@ -28,6 +28,11 @@
 	if err := results.Write(c.out); err != nil {
 		return err
 	}
+	for _, l := range results.Reasons() {
+		if _, err := fmt.Fprintln(c.out, l); err != nil {
+			return err
+		}
+	}
 	return c.verdict(ctx, results, checks)
 }
 
