Leave out servers whose address belongs to another server

Entries of servers that are gone stay for seconds, and a server that answered 421 was left out for 50 ms like a full one, so that the next requests went there again. The repeats are charged to the budget of schreibfeder, and the arrivals count at kontor.

--- a/exchange.go
+++ b/exchange.go
@@ -45,6 +45,9 @@
 	Sealed bool
 	// NotRun says that the server did not run the request and never will.
 	NotRun bool
+	// Misdirected says that the address belongs to another server than the
+	// one that the request named. The request was not run.
+	Misdirected bool
 	// KeepAlive is how long the server keeps the connection open when it is
 	// idle; 0 means that it did not say.
 	KeepAlive time.Duration
--- a/internal/caller/host/answer.go
+++ b/internal/caller/host/answer.go
@@ -28,6 +28,8 @@
 type answerError struct {
 	status int
 	notRun bool
+	// misdirected answers come from another server than the one meant.
+	misdirected bool
 }
 
 // Error implements error.
@@ -73,7 +75,7 @@
 	} else {
 		a.Close()
 	}
-	return &answerError{status: a.Status, notRun: true}
+	return &answerError{status: a.Status, notRun: true, misdirected: a.Head.Misdirected}
 }
 
 // whole reads an answer to its end before it is sent on.
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -32,6 +32,7 @@
 	servers []*worker.Server
 	front   *httptest.Server
 	events  *recorder
+	table   *placement.Table
 	view    *view.View
 	refuse  bool
 	// repeats is the fixed part of the budget of repeats.
@@ -110,6 +111,7 @@
 	t.Helper()
 	f := &fixture{repeats: 100, store: rows.New(), events: &recorder{}}
 	table := placement.New(placement.Options{Self: "r1", Local: "a", ReadRate: 50, ColdOver: 1.5, ColdSlack: 5})
+	f.table = table
 	start := time.Now()
 	f.view = view.New(view.Options{
 		Store: f.store, Table: table, Clock: func() time.Duration { return time.Since(start) }, Events: f.events,
--- a/internal/caller/host/handler_test.go
+++ b/internal/caller/host/handler_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/standin/headers"
 	"github.com/galenalatch/galenalatch/internal/standin/rows"
 	"github.com/galenalatch/galenalatch/internal/standin/worker"
@@ -260,3 +261,25 @@
 		}
 	}
 }
+
+// Guards against requests that go on reaching the address of a server that is
+// gone while its entry stays: the address may belong to another service, whose
+// budget of repeats they use up.
+func TestReusedAddress(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.store.Unregister("s1")
+	f.store.Register(galenalatch.Registration{ID: "gone", Service: service, Address: f.servers[0].Address(), DataCentre: "a", Slots: 4})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.table.Usable(time.Now(), "gone") && !f.table.Usable(time.Now(), "s1") {
+			return poll.Success()
+		}
+		return poll.Continue("the old entry")
+	}, poll.WithDelay(5*time.Millisecond))
+	// Longer than a full server is left out.
+	for i, begun := 0, time.Now(); time.Since(begun) < 200*time.Millisecond; i++ {
+		a := f.call(t.Context(), "POST", "/status/1", fmt.Sprint("r-", i), "body")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK)
+	}
+	assert.Equal(t, f.servers[0].Arrivals(), 1)
+}
--- a/internal/caller/host/task.go
+++ b/internal/caller/host/task.go
@@ -133,6 +133,8 @@
 	case err == nil:
 	case errors.As(err, &unsent):
 		result = placement.Unreached
+	case errors.As(err, &answered) && answered.misdirected:
+		result, status = placement.Misdirected, answered.status
 	case errors.As(err, &answered) && answered.notRun:
 		result, status = placement.Shed, answered.status
 	case errors.As(err, &answered):
--- a/internal/decide/placement/progress.go
+++ b/internal/decide/placement/progress.go
@@ -19,6 +19,8 @@
 	Failed Result = "failed"
 	// Shed requests were rejected without having run.
 	Shed Result = "shed"
+	// Misdirected requests reached another server at the same address.
+	Misdirected Result = "misdirected"
 	// Broken exchanges got no whole answer.
 	Broken Result = "broken"
 	// Unreached servers could not be connected.
@@ -87,7 +89,11 @@
 	case Unreached:
 		s.unreachable(now)
 	case Shed:
-		s.pausedTo = now.Add(shedPause)
+		s.pauseTo(now.Add(shedPause))
+	case Misdirected:
+		// The server is gone and its entry is behind. Each further request
+		// would be an arrival at a service that it does not belong to.
+		s.pauseTo(now.Add(longestPause))
 	}
 }
 
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -155,5 +155,12 @@
 // unreachable keeps new requests away for a time that doubles.
 func (s *server) unreachable(now time.Time) {
 	s.pause = min(max(2*s.pause, firstPause), longestPause)
-	s.pausedTo = now.Add(s.pause)
+	s.pauseTo(now.Add(s.pause))
+}
+
+// pauseTo keeps new requests away until a time. It shortens no pause.
+func (s *server) pauseTo(t time.Time) {
+	if t.After(s.pausedTo) {
+		s.pausedTo = t
+	}
 }
--- a/internal/decide/placement/server_test.go
+++ b/internal/decide/placement/server_test.go
@@ -159,3 +159,24 @@
 	assert.Equal(t, score(slots-1), plainCost)
 	assert.Equal(t, score(slots), 2*plainCost*(slots+1)/slots, "all slots are taken")
 }
+
+// Guards against a server whose address belongs to another one and that gets
+// request after request until its entry is gone, also when an older exchange
+// with it ends.
+func TestMisdirectedServersPause(t *testing.T) {
+	table := newTable("r1", 2)
+	p, _ := table.Choose(start, prompt(1))
+	older, _ := table.Choose(start, prompt(1))
+	for older.Server != p.Server {
+		older, _ = table.Choose(start, prompt(1))
+	}
+	table.Done(start, p, Misdirected)
+	table.Done(start, older, Shed)
+	for at := start; at.Before(start.Add(longestPause)); at = at.Add(100 * time.Millisecond) {
+		q, ok := table.Choose(at, prompt(1))
+		assert.Assert(t, ok && q.Server != p.Server, "after %s", at.Sub(start))
+		table.Done(at, q, Served)
+	}
+	q, _ := table.Choose(start.Add(longestPause), prompt(1))
+	assert.Equal(t, q.Server, p.Server)
+}
--- a/internal/standin/headers/headers.go
+++ b/internal/standin/headers/headers.go
@@ -66,9 +66,10 @@
 }
 
 // Answer implements galenalatch.Headers.
-func (Headers) Answer(_ int, h http.Header) galenalatch.AnswerHead {
+func (Headers) Answer(status int, h http.Header) galenalatch.AnswerHead {
 	return galenalatch.AnswerHead{
 		ID: galenalatch.RequestID(h.Get(Request)), Sealed: h.Get(Seal) != "", NotRun: h.Get(NotRun) != "",
+		Misdirected: status == http.StatusMisdirectedRequest,
 	}
 }
 
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -41,6 +41,8 @@
 	Extra Behaviour = "extra"
 	// Unsealed answers without the seal of the service.
 	Unsealed Behaviour = "unsealed"
+	// misdirected rejects a request that names another server.
+	misdirected Behaviour = "misdirected"
 )
 
 // Names are the headers that a server reads and writes.
@@ -75,6 +77,7 @@
 	seen      []http.Header
 	log       []Run
 	dials     int
+	arrivals  int
 }
 
 // Run is one run of a request.
@@ -125,6 +128,14 @@
 	return s.runs[id]
 }
 
+// Arrivals returns the number of requests that were read, also those that were
+// not run.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
 // Cancelled reports whether the connection of a running request was closed.
 func (s *Server) Cancelled(id string) bool {
 	s.mu.Lock()
@@ -183,9 +194,10 @@
 	s.mu.Lock()
 	do := s.behaviour
 	if r.Header.Get(s.names.Expected) != string(s.ID) {
-		do = Shed
+		do = misdirected
 	}
-	if do != Shed {
+	s.arrivals++
+	if do != Shed && do != misdirected {
 		s.runs[id]++
 		s.log = append(s.log, Run{ID: id, Path: r.URL.Path, At: time.Now()})
 		s.seen = append(s.seen, r.Header.Clone())
@@ -202,6 +214,8 @@
 		do = Answer
 	}
 	switch do {
+	case misdirected:
+		return s.write(c, whole("421 Misdirected Request", s.names.Request+": "+id+"\r\n"+s.names.NotRun+": 1\r\n", ""))
 	case Shed:
 		return s.write(c, whole("503 Service Unavailable", s.names.Request+": "+id+"\r\n"+s.names.NotRun+": 1\r\n", ""))
 	case Fail:
