Ask again at once when the store has not answered

Cause, found by a new oracle over several routers: a call whose answer is lost held a router for the whole wait of its feed (3.4 s for servers, also on relaying routers that ask the store to wait 0.8 s only), then came a pause of up to 0.8 s. After any failed call the removal of a server was delayed by 1.7 s, as if entries could have lapsed. A server that left 0.5 s after a fault of 0.15 s got requests for 5 s; the bounds hold again 3 s after a fault.

Change: a call of the store is given up 0.9 s after the time for which the store may hold it, also where that is shorter than the wait of the feed; a feed without answers asks the store not to hold its calls, and the pause counts from the begin of the failed call; calls of the servers' feed wait 2 s instead of 2.5 s; removals are delayed only after 3.1 s without an answer, more than one lost answer takes. Also tests for the first answers of an empty store and for short calls, which mutants changed without notice.

TestLostAnswer, TestSilentStore and TestLostAnswerOfRelay fail without the change.

--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -115,7 +115,7 @@
 	start := time.Now()
 	f.view = view.New(view.Options{
 		Store: f.store, Table: table, Clock: func() time.Duration { return time.Since(start) }, Events: f.events,
-		OperatorWait: 50 * time.Millisecond, ServerWait: 50 * time.Millisecond,
+		OperatorWait: 50 * time.Millisecond,
 	})
 	h := New(Options{
 		View: f.view, Table: table, Headers: headers.Headers{}, Events: f.events, MaxProofAge: 400 * time.Millisecond,
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -33,9 +33,7 @@
 	Wait time.Duration
 	// Read applies the changes after a version, or everything. Answers older
 	// than the version seen are errors, see Older.
-	Read func(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error)
-	// Failed is told of each failed call, if set.
-	Failed func(now time.Time)
+	Read   func(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error)
 	Events Events
 	// Gap is the shortest time between two calls. Changes that come together
 	// share a call. Answers that another router has passed on cost no call
@@ -55,7 +53,7 @@
 		begun := time.Now()
 		relayed, err := f.step(ctx)
 		if err != nil && ctx.Err() == nil {
-			f.retry(ctx, err)
+			f.retry(ctx, err, time.Since(begun))
 		}
 		if !relayed {
 			f.sleep(ctx, f.Gap-time.Since(begun))
@@ -66,9 +64,14 @@
 
 // step makes one call. It reports whether the answer was relayed.
 func (f *Feed) step(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+AnswerTime)
+	wait := f.Wait
+	if !f.lost.IsZero() {
+		// The answer shows soonest that the store is back.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+AnswerTime)
 	defer cancel()
-	p, err := f.Read(ctx, f.after, f.seen, f.Wait)
+	p, err := f.Read(ctx, f.after, f.seen, wait)
 	if err != nil {
 		return false, err
 	}
@@ -91,21 +94,19 @@
 }
 
 // retry waits before the next call. Routers that lost the store together
-// come back spread over time.
-func (f *Feed) retry(ctx context.Context, err error) {
+// come back spread over time. The time that the failed call took counts, so
+// that a router whose call got no answer asks again at once.
+func (f *Feed) retry(ctx context.Context, err error, took time.Duration) {
 	if errors.Is(err, galenalatch.ErrHistoryGone) {
 		f.after = galenalatch.Everything
 		return
 	}
-	if f.Failed != nil {
-		f.Failed(time.Now())
-	}
 	if f.lost.IsZero() {
 		f.lost = time.Now()
 		f.Events.Lost(f.Name, err)
 	}
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
-	f.sleep(ctx, f.pause/2+rand.N(f.pause/2))
+	f.sleep(ctx, f.pause/2+rand.N(f.pause/2)-took)
 }
 
 func (f *Feed) sleep(ctx context.Context, d time.Duration) {
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -82,3 +82,22 @@
 	assert.ErrorContains(t, Older(galenalatch.Position{Version: 6}, 7, nil), "after version 7")
 	assert.NilError(t, Older(galenalatch.Position{Version: 7}, 7, nil))
 }
+
+// Guards against a feed that hears late that the store is back: a call of an
+// outage without answers must not be held for the whole wait of the feed, and
+// the pause after it counts from its begin.
+func TestSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var began []time.Duration
+		start := time.Now()
+		follow(t, &Feed{Wait: 2 * time.Second, Read: func(ctx context.Context, _, _ uint64, wait time.Duration) (galenalatch.Position, error) {
+			began = append(began, time.Since(start))
+			<-ctx.Done()
+			return galenalatch.Position{}, ctx.Err()
+		}}, 10*time.Second)
+		assert.Equal(t, began[1], 2*time.Second+AnswerTime)
+		for i := range began[2:] {
+			assert.Equal(t, began[i+2]-began[i+1], AnswerTime)
+		}
+	})
+}
--- a/internal/fleet/relay/store.go
+++ b/internal/fleet/relay/store.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/fleet/feed"
 )
 
 // Tables of the relayed feeds.
@@ -165,6 +166,12 @@
 	return min(wait, slowWait)
 }
 
+// limit bounds a call that the store may hold for a time. A call whose answer
+// is lost must not keep a router from the next one for longer.
+func limit(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, wait+feed.AnswerTime)
+}
+
 // quiet returns how long a router waits for a relayed answer.
 func quiet(wait time.Duration) time.Duration {
 	if wait <= urgent {
@@ -187,7 +194,10 @@
 			Position: m.Position(), Configuration: m.Configuration, Out: m.Out, In: m.In,
 		}, nil
 	}
-	u, err := s.Store.Operators(ctx, after, s.own(after, wait))
+	wait = s.own(after, wait)
+	ctx, cancel := limit(ctx, wait)
+	defer cancel()
+	u, err := s.Store.Operators(ctx, after, wait)
 	if err == nil {
 		s.pass(galenalatch.StoreAnswer{
 			Feed: operators, After: after, Version: u.Version, Clock: u.Clock,
@@ -202,7 +212,10 @@
 	if m, ok := s.await(ctx, servers, after, wait); ok {
 		return galenalatch.ServerUpdate{Position: m.Position(), Present: m.Present, Gone: m.Gone}, nil
 	}
-	u, err := s.Store.Servers(ctx, after, s.own(after, wait))
+	wait = s.own(after, wait)
+	ctx, cancel := limit(ctx, wait)
+	defer cancel()
+	u, err := s.Store.Servers(ctx, after, wait)
 	if err == nil {
 		s.pass(galenalatch.StoreAnswer{
 			Feed: servers, After: after, Version: u.Version, Clock: u.Clock, Present: u.Present, Gone: u.Gone,
@@ -216,7 +229,10 @@
 	if m, ok := s.await(ctx, table, after, wait); ok {
 		return galenalatch.RowUpdate{Position: m.Position(), Rows: m.Rows}, nil
 	}
-	u, err := s.Store.Rows(ctx, table, after, s.own(after, wait))
+	wait = s.own(after, wait)
+	ctx, cancel := limit(ctx, wait)
+	defer cancel()
+	u, err := s.Store.Rows(ctx, table, after, wait)
 	if err == nil {
 		s.pass(galenalatch.StoreAnswer{Feed: table, After: after, Version: u.Version, Clock: u.Clock, Rows: u.Rows})
 	}
--- a/internal/fleet/relay/store_test.go
+++ b/internal/fleet/relay/store_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/fleet/feed"
 	"github.com/galenalatch/galenalatch/internal/standin/rows"
 )
 
@@ -185,3 +186,21 @@
 		assert.Equal(t, time.Since(begun), wait)
 	})
 }
+
+// Guards against a lost answer that keeps a relaying router, and all that
+// listen to it, for the whole wait of the feed.
+func TestLostAnswerOfRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for mode, limit := range map[Mode]time.Duration{
+			Alone: wait + feed.AnswerTime, Relaying: relayWait + feed.AnswerTime, Listening: silence + feed.AnswerTime,
+		} {
+			p := newPair()
+			p.store.SetFault(rows.Silent)
+			p.listen.SetMode(mode)
+			begun := time.Now()
+			_, err := p.listen.Servers(t.Context(), 0, wait)
+			assert.ErrorIs(t, err, context.DeadlineExceeded)
+			assert.Equal(t, time.Since(begun), limit)
+		}
+	})
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -22,6 +22,13 @@
 )
 
 const (
+	// serverWait is how long the store holds a call of the servers' feed
+	// without a change.
+	serverWait = 2 * time.Second
+	// lapseTime is the shortest time without an answer after which entries of
+	// live servers may have lapsed. One lost answer takes less, so that it
+	// delays no removal. Entries lapse after 3.6 s without a heartbeat.
+	lapseTime = serverWait + feed.AnswerTime + 200*time.Millisecond
 	// callGap is the shortest time between two calls of a feed.
 	callGap = 150 * time.Millisecond
 	// maxUncertainty is how much older than they are proofs may look.
@@ -41,10 +48,9 @@
 	Table  *placement.Table
 	Clock  func() time.Duration
 	Events Events
-	// OperatorWait and ServerWait are how long the store holds a call
-	// without a change. They bound the age of the proof of the copy.
+	// OperatorWait is how long the store holds a call of the operators' feed
+	// without a change. It bounds the age of the proof of the copy.
 	OperatorWait time.Duration
-	ServerWait   time.Duration
 }
 
 // Events are told what changes the view. They must not block.
@@ -67,8 +73,9 @@
 	out     map[galenalatch.DataCentre]bool
 	// short is set while a call is made to compare the clocks.
 	short bool
-	// trouble is when a call of the servers' feed failed last.
-	trouble time.Time
+	// answered is when the servers' feed had its last answer. returned is
+	// when it had the first one after an outage in which entries may lapse.
+	answered, returned time.Time
 }
 
 // New returns a view without a configuration.
@@ -94,7 +101,7 @@
 func (v *View) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	operators := &feed.Feed{Name: "operators", Wait: v.OperatorWait, Read: v.readOperators, Events: v.Events, Gap: callGap}
-	servers := &feed.Feed{Name: "servers", Wait: v.ServerWait, Read: v.readServers, Failed: v.serversFailed, Events: v.Events, Gap: callGap}
+	servers := &feed.Feed{Name: "servers", Wait: serverWait, Read: v.readServers, Events: v.Events, Gap: callGap}
 	g.Go(func() error { return operators.Run(ctx) })
 	g.Go(func() error { return servers.Run(ctx) })
 	return g.Wait()
@@ -184,12 +191,6 @@
 	}
 }
 
-func (v *View) serversFailed(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.trouble = now
-}
-
 func (v *View) readServers(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
 	u, err := v.Store.Servers(ctx, after, wait)
 	if err := feed.Older(u.Position, seen, err); err != nil {
@@ -199,13 +200,7 @@
 		v.Events.Invalid("servers", e)
 	}
 	now := time.Now()
-	v.mu.Lock()
-	at := now
-	if now.Sub(v.trouble) < returnTime+feed.AnswerTime {
-		// Entries lapse while the store is away and come back soon after.
-		at = now.Add(removalDelay)
-	}
-	v.mu.Unlock()
+	at := v.removal(now)
 	present := make(map[galenalatch.ServerID]bool, len(u.Present))
 	for _, r := range u.Present {
 		present[r.ID] = true
@@ -226,3 +221,18 @@
 	}
 	return u.Position, nil
 }
+
+// removal returns when a server whose entry is missing in an answer is to be
+// dropped. Entries lapse while the store is away and come back soon after.
+func (v *View) removal(now time.Time) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.answered.IsZero() && now.Sub(v.answered) > lapseTime {
+		v.returned = now
+	}
+	v.answered = now
+	if now.Sub(v.returned) < returnTime {
+		return now.Add(removalDelay)
+	}
+	return now
+}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -51,7 +51,7 @@
 		w := &world{store: rows.New(), table: placement.New(placement.Options{Self: "r1", Local: "a", ReadRate: 50})}
 		w.view = New(Options{
 			Store: w.store, Table: w.table, Clock: func() time.Duration { return time.Since(start) }, Events: &quiet{},
-			OperatorWait: 1500 * time.Millisecond, ServerWait: 2500 * time.Millisecond,
+			OperatorWait: 1500 * time.Millisecond,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -154,6 +154,22 @@
 	}
 }
 
+// Guards against a router that learns late of a removed server because the
+// answer of one call was lost, and against one that takes the time of the lost
+// call for an outage in which entries lapse.
+func TestLostAnswer(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		// A change ends the calls under way; the next ones meet the fault.
+		w.store.SetFault(rows.Silent)
+		w.store.Register(server)
+		time.Sleep(300 * time.Millisecond)
+		w.store.SetFault(rows.Sound)
+		w.store.Unregister("s1")
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !w.usable())
+	})
+}
+
 // Guards against a router that refuses keys for good because its first call
 // of the store took long.
 func TestSlowFirstCall(t *testing.T) {
@@ -171,7 +187,7 @@
 		}
 		v := New(Options{
 			Store: store, Table: placement.New(placement.Options{}), Clock: clock, Events: &quiet{},
-			OperatorWait: 1500 * time.Millisecond, ServerWait: 2500 * time.Millisecond,
+			OperatorWait: 1500 * time.Millisecond,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -214,3 +230,36 @@
 	}
 	assert.DeepEqual(t, events.lines, []string{"invalid", "invalid", "applied", "invalid"})
 }
+
+// Guards against a router whose first answers, before operators have published
+// a configuration, prove nothing.
+func TestEmptyStore(t *testing.T) {
+	v := New(Options{
+		Store: rows.New(), Table: placement.New(placement.Options{}), Clock: func() time.Duration { return 0 }, Events: &quiet{},
+	})
+	_, err := v.readOperators(t.Context(), galenalatch.Everything, 0, 0)
+	assert.NilError(t, err)
+	_, ok := v.Age()
+	assert.Assert(t, ok)
+}
+
+// Guards against short calls without a need, against two in a row, which would
+// not let the store tell of changes, and against none when proofs look older
+// than they are.
+func TestShortCalls(t *testing.T) {
+	tests := []struct {
+		uncertainty time.Duration
+		want        []bool
+	}{
+		{0, []bool{false, false, false}},
+		{maxUncertainty, []bool{false, false, false}},
+		{maxUncertainty + 1, []bool{true, false, true}},
+	}
+	for _, tt := range tests {
+		v := New(Options{})
+		v.tracker.Observe(time.Second, time.Second+tt.uncertainty, time.Second)
+		for i, want := range tt.want {
+			assert.Equal(t, v.calibrate(), want, "%s: call %d", tt.uncertainty, i)
+		}
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -47,7 +47,6 @@
 	// for which the store holds a call without a change. It bounds the age of
 	// the proof of the configuration.
 	operatorWait = 0.3
-	serverWait   = 2500 * time.Millisecond
 	// storeSilence and serverSilence bound the time after which a silent
 	// connection counts as broken.
 	storeSilence  = time.Second
@@ -135,7 +134,7 @@
 	})
 	g.view = view.New(view.Options{
 		Store: g.relay, Table: g.table, Clock: steady, Events: observe,
-		OperatorWait: time.Duration(operatorWait * float64(s.KeyRemoval)), ServerWait: serverWait,
+		OperatorWait: time.Duration(operatorWait * float64(s.KeyRemoval)),
 	})
 	g.client = exchange.New(exchange.Options{
 		Dial: dial.Dialer{Silence: serverSilence}.DialContext, Headers: platform.Headers{},
