Test the list of routers against mutants of its feed

Change: tests for failed and lost writes of the own row and for lists that are told again without a change.

--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,15 +15,18 @@
 	"github.com/galenalatch/galenalatch/internal/standin/rows"
 )
 
-type silentEvents struct{}
+// counted counts how often the store was lost.
+type counted struct{ lost atomic.Int64 }
 
-func (silentEvents) Lost(string, error)             {}
-func (silentEvents) Regained(string, time.Duration) {}
+func (c *counted) Lost(string, error)           { c.lost.Add(1) }
+func (*counted) Regained(string, time.Duration) {}
 
 // router is a member with the newest list that it was told.
 type router struct {
 	list   *List
+	events counted
 	mu     sync.Mutex
+	told   int
 	ids    []galenalatch.RouterID
 	token  string
 	cancel context.CancelFunc
@@ -31,6 +36,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ids, r.token = nil, token
+	r.told++
 	for _, m := range list {
 		r.ids = append(r.ids, m.ID)
 	}
@@ -53,7 +59,7 @@
 	t.Helper()
 	r := &router{}
 	r.list = New(Options{
-		Store: s, Events: silentEvents{}, Changed: r.changed,
+		Store: s, Events: &r.events, Changed: r.changed,
 		Self: Member{ID: id, Address: "10.0.0.1:7400", DataCentre: "a", Start: string(id) + "-1"},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -129,3 +135,47 @@
 		b.cancel()
 	})
 }
+
+// deaf is a store that answers reads and ends writes with an error.
+type deaf struct {
+	*rows.Store
+	err error
+}
+
+// Write implements galenalatch.Store.
+func (d deaf) Write(context.Context, string, galenalatch.StoreRow) error { return d.err }
+
+// Guards against a router that is not told of as lost although it cannot add
+// itself to the list, and against a lost race for a row that counts as a
+// failure of the store.
+func TestWritesFail(t *testing.T) {
+	for _, tt := range []struct {
+		err  error
+		lost int64
+	}{{errors.New("store refused the write"), 1}, {galenalatch.ErrWriteConflict, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := join(t, deaf{rows.New(), tt.err}, "r1")
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, r.events.lost.Load(), tt.lost, "%v", tt.err)
+			r.cancel()
+		})
+	}
+}
+
+// Guards against lists that are told again although nothing has changed: each
+// one replaces the fleet's topology.
+func TestQuietList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := join(t, rows.New(), "r1")
+		time.Sleep(5 * time.Second)
+		told := func() int {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.told
+		}
+		before := told()
+		time.Sleep(time.Minute)
+		assert.Equal(t, told(), before)
+		r.cancel()
+	})
+}
