Bound the workspaces in the messages between routers

Cause: a message held an entry for each workspace that was active in the last 4 s, which is 50 KB at some thousand of them (worked out); the target size has 11,000 workspaces.

Change: a message holds the 128 workspaces that asked most, and the rest as one sum with their number; the max-min level counts each of the rest as asking their mean.

Measured: 11,000 workspaces take less than 2,000 bytes (TestMessagesAreBounded); TestOthers, TestLevel with others.

--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -31,6 +31,13 @@
 	Begun float64
 }
 
+// Others are workspaces whose uses are known as a sum only. Each of them is
+// judged by what else is known of it, which is less than it had.
+type Others struct {
+	Count int
+	Use
+}
+
 // Ledger counts the uses of workspaces. It is safe for concurrent use.
 type Ledger struct {
 	window time.Duration
@@ -46,8 +53,9 @@
 }
 
 type remoteUse struct {
-	at   time.Time
-	uses map[uint32]Use
+	at     time.Time
+	uses   map[uint32]Use
+	others Others
 }
 
 // New returns a ledger with a window of a length.
@@ -102,16 +110,18 @@
 	return uses
 }
 
-// SetRemote records the uses on another router.
-func (l *Ledger) SetRemote(now time.Time, r galenalatch.RouterID, uses map[uint32]Use) {
+// SetRemote records the uses on another router: those of the workspaces that
+// asked most, and of the others together.
+func (l *Ledger) SetRemote(now time.Time, r galenalatch.RouterID, uses map[uint32]Use, others Others) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.remote[r] = remoteUse{at: now, uses: uses}
+	l.remote[r] = remoteUse{at: now, uses: uses, others: others}
 }
 
 // fleet returns the uses on all routers.
-func (l *Ledger) fleet(now time.Time) map[uint32]Use {
+func (l *Ledger) fleet(now time.Time) (map[uint32]Use, Others) {
 	uses := l.own(now)
+	var others Others
 	for id, r := range l.remote {
 		if now.Sub(r.at) > maxRemoteAge {
 			delete(l.remote, id)
@@ -123,8 +133,11 @@
 			sum.Begun += u.Begun
 			uses[k] = sum
 		}
+		others.Count += r.others.Count
+		others.Asked += r.others.Asked
+		others.Begun += r.others.Begun
 	}
-	return uses
+	return uses, others
 }
 
 // Fraction returns what was begun for a workspace within the window as a
@@ -136,15 +149,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.levelFor != rate || now.Sub(l.levelAt) >= levelTime {
-		l.sums = l.fleet(now)
-		capacity := 0.0
+		sums, others := l.fleet(now)
+		l.sums = sums
+		capacity := others.Begun
 		for _, u := range l.sums {
 			capacity += u.Begun
 		}
 		if rate > 0 {
 			capacity = min(capacity, rate*l.window.Seconds())
 		}
-		l.level, l.levelAt, l.levelFor = Level(l.sums, capacity), now, rate
+		l.level, l.levelAt, l.levelFor = Level(l.sums, others, capacity), now, rate
 	}
 	if l.level <= 0 {
 		return 0
@@ -154,12 +168,15 @@
 
 // Level returns the amount up to which every workspace gets what it asks
 // when capacity is shared max-min fairly. It is the capacity itself when all
-// requests fit.
-func Level(uses map[uint32]Use, capacity float64) float64 {
-	asked := make([]float64, 0, len(uses))
+// requests fit. Each of the others counts as asking their mean.
+func Level(uses map[uint32]Use, others Others, capacity float64) float64 {
+	asked := make([]float64, 0, len(uses)+others.Count)
 	for _, u := range uses {
 		asked = append(asked, u.Asked)
 	}
+	for range others.Count {
+		asked = append(asked, others.Asked/float64(others.Count))
+	}
 	slices.Sort(asked)
 	left := capacity
 	for i, a := range asked {
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -15,13 +15,18 @@
 func TestLevel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		asked := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 30).Draw(t, "asked")
+		others := Others{Count: rapid.IntRange(0, 20).Draw(t, "others")}
+		others.Asked = float64(others.Count) * rapid.Float64Range(0, 1000).Draw(t, "asked by each of the others")
 		capacity := rapid.Float64Range(1, 5000).Draw(t, "capacity")
 		uses := make(map[uint32]Use)
 		for i, a := range asked {
 			uses[uint32(i)] = Use{Asked: a}
 		}
-		level := Level(uses, capacity)
+		level := Level(uses, others, capacity)
 		given, cut := 0.0, false
+		for range others.Count {
+			asked = append(asked, others.Asked/float64(others.Count))
+		}
 		for _, a := range asked {
 			given += min(a, level)
 			cut = cut || a > level
@@ -45,7 +50,7 @@
 	l.Add(now, "small", Use{Asked: 100, Begun: 100})
 	// 2,000 tokens in the window: the small one gets 100, the large one 1,900.
 	assert.Equal(t, l.Fraction(now, "large", 500), 2400.0/1900)
-	l.SetRemote(now, "r2", map[uint32]Use{Key("large"): {Asked: 3000, Begun: 1400}})
+	l.SetRemote(now, "r2", map[uint32]Use{Key("large"): {Asked: 3000, Begun: 1400}}, Others{})
 	now = now.Add(levelTime + time.Millisecond)
 	assert.Equal(t, l.Fraction(now, "large", 500), 2.0)
 	now = now.Add(maxRemoteAge)
@@ -55,6 +60,21 @@
 	assert.Equal(t, len(l.Own(now)), 0)
 }
 
+// Guards against workspaces without an entry of their own that take no part
+// in the division: a large workspace would find room that is not there.
+func TestOthers(t *testing.T) {
+	l := New(4 * time.Second)
+	now := time.Unix(1000, 0)
+	l.Add(now, "large", Use{Asked: 3000, Begun: 1400})
+	l.SetRemote(now, "r2", nil, Others{Count: 4, Use: Use{Asked: 600, Begun: 600}})
+	// 2,000 tokens are begun: the others get 600, the large one 1,400.
+	assert.Equal(t, l.Fraction(now, "large", 0), 1.0)
+	now = now.Add(levelTime)
+	l.SetRemote(now, "r2", nil, Others{Count: 4, Use: Use{Asked: 6000, Begun: 600}})
+	// Each gets 400.
+	assert.Equal(t, l.Fraction(now, "large", 0), 3.5)
+}
+
 // Guards against shares of a throughput that the engines do not reach: while
 // they read with empty caches, all workspaces are below their share of the
 // configured rate, and the one whose prompts are kept takes nearly all.
@@ -114,7 +134,7 @@
 	assert.Equal(t, l.Own(now)[Key("a")], Use{Asked: 3000, Begun: 3000})
 	assert.Equal(t, l.Fraction(now, "a", 1000), 1.0)
 	assert.Equal(t, l.Fraction(now, "a", 500), 1.5, "another rate")
-	l.SetRemote(now, "r2", map[uint32]Use{Key("a"): {Asked: 1000, Begun: 1000}})
+	l.SetRemote(now, "r2", map[uint32]Use{Key("a"): {Asked: 1000, Begun: 1000}}, Others{})
 	assert.Equal(t, l.Fraction(now, "a", 500), 1.5, "the level is kept for a time")
 	assert.Equal(t, l.Fraction(now.Add(levelTime), "a", 500), 2.0)
 }
--- a/internal/peer/use/exchange.go
+++ b/internal/peer/use/exchange.go
@@ -276,7 +276,7 @@
 	t := newTotal()
 	t.add(m)
 	e.Table.SetRemote(now, r, t.servers)
-	e.Ledger.SetRemote(now, r, t.workspaces)
+	e.Ledger.SetRemote(now, r, t.workspaces, t.others)
 }
 
 // Silent returns the routers that were not heard for the limit, and whether
--- a/internal/peer/use/outbox.go
+++ b/internal/peer/use/outbox.go
@@ -1,6 +1,7 @@
 package use
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -27,7 +28,9 @@
 	if len(m.Servers)+len(m.Workspaces) == 0 {
 		limit = idleAfter
 	}
-	if now.Sub(o.at) < limit && slices.Equal(m.Servers, o.last.Servers) && slices.Equal(m.Workspaces, o.last.Workspaces) {
+	same := slices.Equal(m.Servers, o.last.Servers) && slices.Equal(m.Workspaces, o.last.Workspaces) &&
+		reflect.DeepEqual(m.Others, o.last.Others)
+	if same && now.Sub(o.at) < limit {
 		return false
 	}
 	o.last, o.at = m, now
--- a/internal/peer/use/outbox_test.go
+++ b/internal/peer/use/outbox_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/galenalatch/galenalatch"
@@ -22,6 +24,10 @@
 	workspace := func(asked uint32) galenalatch.RouterUse {
 		return galenalatch.RouterUse{Workspaces: []galenalatch.WorkspaceUse{{Workspace: 1, Asked: asked}}}
 	}
+	others := func(u galenalatch.RouterUse) galenalatch.RouterUse {
+		u.Others = &galenalatch.OtherUse{Count: 1, Asked: 2}
+		return u
+	}
 	tests := []struct {
 		name   string
 		before galenalatch.RouterUse
@@ -33,6 +39,7 @@
 		{"long ago", server(1), repeatAfter, server(1), true},
 		{"a server has changed", server(1), time.Millisecond, server(2), true},
 		{"a workspace has changed", workspace(1), time.Millisecond, workspace(2), true},
+		{"other workspaces have changed", workspace(1), time.Millisecond, others(workspace(1)), true},
 		{"the last request has ended", server(1), time.Millisecond, galenalatch.RouterUse{}, true},
 		{"idle", galenalatch.RouterUse{}, repeatAfter, galenalatch.RouterUse{}, false},
 		{"idle for long", galenalatch.RouterUse{}, idleAfter, galenalatch.RouterUse{}, true},
@@ -72,3 +79,33 @@
 		assert.Equal(t, p.ledger.Fraction(time.Now(), "large", 1000), want, "%s", self)
 	}
 }
+
+// Guards against messages that grow with the number of workspaces, and against
+// sums that lose what the small ones use.
+func TestMessagesAreBounded(t *testing.T) {
+	const count = 11000
+	sum := newTotal()
+	for i := range count {
+		sum.workspaces[uint32(i)] = share.Use{Asked: float64(i%1000+1) * tokenUnit, Begun: tokenUnit}
+	}
+	m := sum.message()
+	assert.Equal(t, len(m.Workspaces), maxWorkspaces)
+	data, err := cbor.Marshal(m)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 2000, "%d bytes", len(data))
+	asked, begun := m.Others.Asked, m.Others.Begun
+	lowest := uint32(math.MaxUint32)
+	for _, w := range m.Workspaces {
+		asked, begun, lowest = asked+w.Asked, begun+w.Begun, min(lowest, w.Asked)
+	}
+	assert.Equal(t, int(m.Others.Count), count-maxWorkspaces)
+	assert.Equal(t, int(asked), count/1000*1000*1001/2)
+	assert.Equal(t, int(begun), count)
+	assert.Assert(t, lowest > 980, "an entry of a workspace that asked for %d", lowest)
+	// The sum of two such messages is bounded too, and loses nothing.
+	twice := newTotal()
+	twice.add(m)
+	twice.add(m)
+	assert.Equal(t, twice.message().Others.Begun, 2*m.Others.Begun)
+	assert.Equal(t, len(twice.message().Workspaces), maxWorkspaces)
+}
--- a/internal/peer/use/received.go
+++ b/internal/peer/use/received.go
@@ -13,6 +13,10 @@
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 )
 
+// maxWorkspaces bounds the workspaces with an entry of their own in a message.
+// A message for 600 servers has about 7 KB; these add less than 2 KB.
+const maxWorkspaces = 128
+
 // stamped is a message with the time at which it came.
 type stamped struct {
 	at  time.Time
@@ -75,13 +79,14 @@
 type total struct {
 	servers    map[uint32]placement.Load
 	workspaces map[uint32]share.Use
+	others     share.Others
 }
 
-func newTotal() total {
-	return total{servers: make(map[uint32]placement.Load), workspaces: make(map[uint32]share.Use)}
+func newTotal() *total {
+	return &total{servers: make(map[uint32]placement.Load), workspaces: make(map[uint32]share.Use)}
 }
 
-func (t total) add(m galenalatch.RouterUse) {
+func (t *total) add(m galenalatch.RouterUse) {
 	for _, s := range m.Servers {
 		l := t.servers[s.Server]
 		l.Running += int(s.Running)
@@ -94,11 +99,17 @@
 		u.Begun += float64(w.Begun) * tokenUnit
 		t.workspaces[w.Workspace] = u
 	}
+	if o := m.Others; o != nil {
+		t.others.Count += int(o.Count)
+		t.others.Asked += float64(o.Asked) * tokenUnit
+		t.others.Begun += float64(o.Begun) * tokenUnit
+	}
 }
 
 // message returns the sum in the order of its keys, so that equal sums are
-// equal messages.
-func (t total) message() galenalatch.RouterUse {
+// equal messages. Of many workspaces only those that asked most have an entry:
+// the others hardly reach their share, and what they use is known as a whole.
+func (t *total) message() galenalatch.RouterUse {
 	m := galenalatch.RouterUse{}
 	for k, l := range t.servers {
 		m.Servers = append(m.Servers, galenalatch.ServerUse{
@@ -110,6 +121,23 @@
 			Workspace: k, Asked: uint32(u.Asked / tokenUnit), Begun: uint32(u.Begun / tokenUnit),
 		})
 	}
+	others := galenalatch.OtherUse{
+		Count: uint32(t.others.Count), Asked: uint32(t.others.Asked / tokenUnit), Begun: uint32(t.others.Begun / tokenUnit),
+	}
+	if len(m.Workspaces) > maxWorkspaces {
+		slices.SortFunc(m.Workspaces, func(a, b galenalatch.WorkspaceUse) int {
+			return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Workspace, b.Workspace))
+		})
+		for _, w := range m.Workspaces[maxWorkspaces:] {
+			others.Count++
+			others.Asked += w.Asked
+			others.Begun += w.Begun
+		}
+		m.Workspaces = m.Workspaces[:maxWorkspaces]
+	}
+	if others.Count > 0 {
+		m.Others = &others
+	}
 	slices.SortFunc(m.Servers, func(a, b galenalatch.ServerUse) int { return cmp.Compare(a.Server, b.Server) })
 	slices.SortFunc(m.Workspaces, func(a, b galenalatch.WorkspaceUse) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return m
--- a/message.go
+++ b/message.go
@@ -286,11 +286,25 @@
 	Begun uint32
 }
 
+// OtherUse is what workspaces without an entry of their own have asked and got
+// together.
+type OtherUse struct {
+	_ struct{} `cbor:",toarray"`
+	// Count is the number of workspaces. In a sum, one that is left out by
+	// several routers counts as often.
+	Count uint32
+	// Asked and Begun are thousands of tokens in the window of fair shares.
+	Asked uint32
+	Begun uint32
+}
+
 // RouterUse is what a router has under way. Each message replaces the one
 // before.
 type RouterUse struct {
-	Servers    []ServerUse    `cbor:"s"`
+	Servers []ServerUse `cbor:"s"`
+	// Workspaces are those that asked most, Others the rest if there is one.
 	Workspaces []WorkspaceUse `cbor:"w"`
+	Others     *OtherUse      `cbor:"o,omitempty"`
 }
 
 // Elsewhere stands for all routers of the other data centres together where
