--- a/internal/peer/use/outbox_test.go
+++ b/internal/peer/use/outbox_test.go
@@ -102,6 +102,9 @@
 	assert.Equal(t, int(asked), count/1000*1000*1001/2)
 	assert.Equal(t, int(begun), count)
 	assert.Assert(t, lowest > 980, "an entry of a workspace that asked for %d", lowest)
+	few := newTotal()
+	few.workspaces[1] = share.Use{Asked: tokenUnit}
+	assert.Assert(t, few.message().Others == nil)
 	// The sum of two such messages is bounded too, and loses nothing.
 	twice := newTotal()
 	twice.add(m)
