Pass over routers that do not answer operators' commands

A suspended process accepts connections, so the command sent the change there, waited its 20 s and ended as unclear.

Change: a command asks a router for its status, with 2 s for the answer, before it calls it, and passes over one that gives none. Only the read is repeated at another router: a change that was sent to a suspended process may take effect when it goes on.

--- a/cmd/galenalatch/await_test.go
+++ b/cmd/galenalatch/await_test.go
@@ -246,7 +246,8 @@
 
 // holder waits until a running router grants in a cell, and sets a variable
 // to its name: holder BOUND POOL[/DATACENTRE/INDEX] VARIABLE [CELL-VARIABLE].
-// With a pool it takes the cell with the most requests.
+// With a pool it takes the cell with the most requests. VARIABLE_OPERATOR is
+// the router's address for operators.
 func (s *scenario) holder(ts *testscript.TestScript, args []string) error {
 	bound, rest, err := withBound(args)
 	if err != nil || len(rest) < 2 {
@@ -271,6 +272,7 @@
 			return fmt.Errorf("no running router grants in %s", rest[0])
 		}
 		ts.Setenv(rest[1], router)
+		ts.Setenv(rest[1]+"_OPERATOR", s.fleet.operator(router))
 		if len(rest) > 2 {
 			ts.Setenv(rest[2], found)
 		}
--- a/cmd/galenalatch/fleet_test.go
+++ b/cmd/galenalatch/fleet_test.go
@@ -44,6 +44,16 @@
 	catalogue galenalatch.Catalogue
 }
 
+// operator returns the address for operators of a router, or "".
+func (f *fleet) operator(id string) string {
+	for _, r := range f.routers {
+		if string(r.ID) == id {
+			return r.Listen.Operator
+		}
+	}
+	return ""
+}
+
 // fleetOptions size a fleet.
 type fleetOptions struct {
 	routers, models, plain, slots, waiting int
--- a/internal/operator/commands/commands.go
+++ b/internal/operator/commands/commands.go
@@ -149,7 +149,13 @@
 	return list, nil
 }
 
-// first calls the routers in turn until one can be reached.
+// answerTime is how long a router may take to tell its status before the next
+// one is asked.
+const answerTime = 2 * time.Second
+
+// first calls the first router that answers. A router that accepts connections
+// without answering, such as a suspended process, is recognised by a read:
+// a change that it had been sent might take effect when it goes on.
 func (c *Commands) first(ctx context.Context, call func(*client.Client) error) error {
 	list, err := c.clients()
 	if err != nil {
@@ -157,6 +163,10 @@
 	}
 	var errs []error
 	for _, cl := range list {
+		if err := answers(ctx, cl); err != nil {
+			errs = append(errs, err)
+			continue
+		}
 		err := call(cl)
 		if galenalatch.KindOf(err) != galenalatch.KindServerUnreached || ctx.Err() != nil {
 			return err
@@ -166,6 +176,21 @@
 	return errors.Join(errs...)
 }
 
+// answers returns an error if the router gives no answer in time. Any answer,
+// also a refusal, is one.
+func answers(ctx context.Context, cl *client.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	_, err := cl.Status(ctx)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return galenalatch.KindServerUnreached.Errorf("no answer within %s: %w", answerTime, err)
+	case galenalatch.KindOf(err) == galenalatch.KindServerUnreached:
+		return err
+	}
+	return nil
+}
+
 // get prints JSON with and without --json: a catalogue in a table would leave
 // out most fields, and the output can be edited and applied.
 func (c *Commands) get(ctx context.Context) error {
--- a/internal/operator/commands/commands_test.go
+++ b/internal/operator/commands/commands_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -213,6 +214,31 @@
 	assert.Assert(t, strings.Contains(other.run(t, "catalogue", "get"), "404 Not Found"))
 }
 
+// Guards against a command that waits its whole time for a router that accepts
+// connections and does not answer, such as a suspended process, and against a
+// change that such a router may make when it goes on.
+func TestRouterHangs(t *testing.T) {
+	r := start(t)
+	var changes atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	hanging := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		if q.Method != http.MethodGet {
+			changes.Add(1)
+		}
+		<-ctx.Done()
+	}))
+	t.Cleanup(hanging.Close)
+	t.Cleanup(cancel)
+	for args, want := range map[string]string{
+		"server out s1 --author mila --timeout 5s": "version 1 accepted",
+		"catalogue get --timeout 5s":               `"version":`,
+	} {
+		got := r.run(t, append(strings.Fields(args), "--router", strings.TrimPrefix(hanging.URL, "http://"))...)
+		assert.Assert(t, strings.Contains(got, want), got)
+	}
+	assert.Equal(t, changes.Load(), int64(0))
+}
+
 // operator applies one change based on version 0.
 type operator struct {
 	client  *client.Client
