Say that a router is ready only once it knows the backend servers

A gateway listens before it has read the store, and it said it was ready with a configuration alone. A request that comes between the configuration and the list of servers is refused with 503. The fixture of the soak waited only for the listener. Reproduced beside eight busy processes: 6 of 40 runs failed.

Change: readiness needs the first list of servers too, and the fixture waits for readiness. TestReadyWithServers fails before the change.

After: 0 of 60 runs beside eight busy processes failed.

--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	wait "gotest.tools/v3/poll"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/duration"
@@ -36,13 +38,14 @@
 
 // gatewayProcess is one gateway with its own way to the store.
 type gatewayProcess struct {
-	id       string
-	caller   string
-	settings string
-	store    *proxy
-	command  *exec.Cmd
-	ended    chan error
-	paused   bool
+	id        string
+	caller    string
+	readiness string
+	settings  string
+	store     *proxy
+	command   *exec.Cmd
+	ended     chan error
+	paused    bool
 }
 
 // workerAddress is a backend server behind a proxy. Each start has a new id.
@@ -105,6 +108,7 @@
 	})
 	for _, g := range f.gateways {
 		f.await(g)
+		f.awaitReady(g)
 	}
 	return f
 }
@@ -113,8 +117,8 @@
 func (f *soakFleet) write(g *gatewayProcess, i int) {
 	s := settings.Default()
 	s.ID, s.DataCentre = galenalatch.RouterID(g.id), galenalatch.DataCentre("ab"[i%2:i%2+1])
-	g.caller = freeAddress(f.t)
-	s.Listen.Caller, s.Listen.Readiness, s.Listen.Peer, s.Listen.Metrics = g.caller, freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	g.caller, g.readiness = freeAddress(f.t), freeAddress(f.t)
+	s.Listen.Caller, s.Listen.Readiness, s.Listen.Peer, s.Listen.Metrics = g.caller, g.readiness, freeAddress(f.t), freeAddress(f.t)
 	s.Store.Address = g.store.address()
 	s.KeyRemoval, s.Drain.Limit = duration.Duration(soakKeyRemoval), duration.Duration(soakDrain)
 	g.settings = filepath.Join(f.dir, g.id+".json")
@@ -187,6 +191,22 @@
 	f.t.Fatalf("%s does not listen and %s; paused %t; %v; %v\n%s", g.id, state, g.paused, f.story, err, log[max(len(log)-500, 0):])
 }
 
+// awaitReady waits until a gateway says that it is ready. It refuses requests
+// before that, since it knows no configuration or no servers.
+func (f *soakFleet) awaitReady(g *gatewayProcess) {
+	wait.WaitOn(f.t, func(wait.LogT) wait.Result {
+		a, err := http.Get("http://" + g.readiness + "/")
+		if err != nil {
+			return wait.Continue("%s: %v", g.id, err)
+		}
+		assert.NilError(f.t, a.Body.Close())
+		if a.StatusCode != http.StatusOK {
+			return wait.Continue("%s: status %d", g.id, a.StatusCode)
+		}
+		return wait.Success()
+	}, wait.WithTimeout(5*time.Second), wait.WithDelay(25*time.Millisecond))
+}
+
 func (f *soakFleet) signal(g *gatewayProcess, s syscall.Signal) {
 	// The process may have ended already.
 	_ = g.command.Process.Signal(s)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -76,6 +76,8 @@
 	// answered is when the servers' feed had its last answer. returned is
 	// when it had the first one after an outage in which entries may lapse.
 	answered, returned time.Time
+	// listed is set once the list of servers was read.
+	listed atomic.Bool
 }
 
 // New returns a view without a configuration.
@@ -88,6 +90,11 @@
 	return v.configuration.Load()
 }
 
+// Listed reports whether the list of backend servers was read at least once.
+func (v *View) Listed() bool {
+	return v.listed.Load()
+}
+
 // Age returns the age of the newest proof that the configuration is the
 // newest of the store. It reports false without one.
 func (v *View) Age() (time.Duration, bool) {
@@ -219,6 +226,7 @@
 		v.Table.Remove(id, at)
 		v.Events.ServerGone(id, u.Position)
 	}
+	v.listed.Store(true)
 	return u.Position, nil
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -306,6 +306,9 @@
 	if c == nil {
 		return false, "no configuration was read yet"
 	}
+	if !g.view.Listed() {
+		return false, "the list of backend servers was not read yet"
+	}
 	age, ok := g.view.Age()
 	if limit := time.Duration(readyProof * float64(g.settings.KeyRemoval)); c.Keyed && (!ok || age > limit) {
 		return false, "the proof of the configuration is too old"
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -1,18 +1,74 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/gateway"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
+	"github.com/galenalatch/galenalatch/internal/fleet/view"
+	"github.com/galenalatch/galenalatch/internal/standin/rows"
+	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
 
+// lateServers is a store whose list of servers comes a time after its
+// configuration.
+type lateServers struct {
+	*rows.Store
+	listed time.Time
+}
+
+// Servers implements galenalatch.Store.
+func (l lateServers) Servers(ctx context.Context, after uint64, wait time.Duration) (galenalatch.ServerUpdate, error) {
+	select {
+	case <-ctx.Done():
+		return galenalatch.ServerUpdate{}, context.Cause(ctx)
+	case <-time.After(time.Until(l.listed)):
+		return l.Store.Servers(ctx, after, wait)
+	}
+}
+
+// Guards against a router that says it is ready with a configuration alone
+// and refuses every request, because it knows no backend server yet.
+func TestReadyWithServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const late = 500 * time.Millisecond
+		start := time.Now()
+		store := lateServers{Store: rows.New(), listed: start.Add(late)}
+		store.Configure(&galenalatch.Configuration{Version: 1})
+		log, err := events.New(t.Output(), "info", "logfmt")
+		assert.NilError(t, err)
+		count := newCounters(func() int64 { return 0 })
+		g := &Gateway{settings: gateway.Default()}
+		g.view = view.New(view.Options{
+			Store: store, Table: placement.New(placement.Options{Self: "r1", Local: "a", ReadRate: 50}),
+			Clock:        func() time.Duration { return time.Since(start) },
+			OperatorWait: time.Second, Events: observer{log: log, count: count},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- g.view.Run(ctx) }()
+		time.Sleep(late / 2)
+		assert.Assert(t, g.view.Configuration() != nil)
+		ready, reason := g.ready()
+		assert.Assert(t, !ready)
+		assert.Equal(t, reason, "the list of backend servers was not read yet")
+		time.Sleep(late)
+		ready, reason = g.ready()
+		assert.Assert(t, ready, reason)
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+}
+
 // Guards against shares of the retry budget that together exceed it, also
 // while some routers do not know the newest ones.
 func TestFixedRepeats(t *testing.T) {
