Divide what the fleet begins, from its first second on

In the first second a workspace could begin the work of the whole window of 4 s, while engines read with empty caches, and all others were refused for the rest of it. The throughput that is shared is now that of the time since the fleet began to serve and half a second. Routers tell each other that time, so that one that joins does not take the fleet as new. 2. A fleet often begins three times the configured throughput. Workspaces far above their share of it all had the lowest limit, and the one whose prompts are read sooner got 2.4 times as much as another one. The lowest limit now falls with the share of all that was begun.

TestFirstSecond, TestFractionOfBegun and TestAdmit fail before. Tests of the ledger now say that the fleet has served for the window, with the same expected values.

--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -124,7 +124,7 @@
 		}),
 		NewBudget: func() *budget.Budget { return &budget.Budget{Window: 10 * time.Second} },
 		Fixed:     func() float64 { return f.repeats },
-		Admit:     func(time.Time, Demand) (float64, bool) { return 0, !f.refuse },
+		Admit:     func(time.Time, Demand) (float64, float64, bool) { return 0, 0, !f.refuse },
 		Ledger:    share.New(4 * time.Second),
 	})
 	for _, id := range []galenalatch.ServerID{"s1", "s2"} {
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -44,8 +44,9 @@
 	// requests, as the list of routers says now.
 	Fixed func() float64
 	// Admit decides whether a request is taken on. It returns what the
-	// workspace had as a fraction of its share.
-	Admit func(now time.Time, r Demand) (share float64, ok bool)
+	// workspace had as a fraction of its share of the throughput, and of its
+	// share of all that was begun.
+	Admit func(now time.Time, r Demand) (share, ofBegun float64, ok bool)
 	// Ledger counts what workspaces ask and get.
 	Ledger *share.Ledger
 }
@@ -83,8 +84,10 @@
 	// the prompt that the server is expected to keep.
 	Wait   time.Duration
 	Cached int
-	// Share is what the workspace had as a fraction of its share.
-	Share float64
+	// Share is what the workspace had as a fraction of its share of the
+	// throughput, OfBegun of its share of all that was begun.
+	Share   float64
+	OfBegun float64
 	// Attempt counts the backend servers that the request was sent to.
 	Attempt int
 	Waited  time.Duration
--- a/internal/caller/host/task.go
+++ b/internal/caller/host/task.go
@@ -109,8 +109,8 @@
 		Waited: t.decision.Waited, Wait: p.Wait,
 	}
 	if len(t.tried) == 0 {
-		share, ok := t.h.Admit(now, demand)
-		t.decision.Share = share
+		share, ofBegun, ok := t.h.Admit(now, demand)
+		t.decision.Share, t.decision.OfBegun = share, ofBegun
 		if !ok {
 			t.h.Table.Done(now, p, placement.Cancelled)
 			return nil, galenalatch.KindQueueFull.Errorf("the first token is predicted after %s", p.Wait.Round(time.Millisecond))
--- a/internal/decide/admission/policy.go
+++ b/internal/decide/admission/policy.go
@@ -16,7 +16,10 @@
 	// workspaces above their share the one that had more gives way.
 	Within float64
 	// Beyond is the lowest limit: engines that are nearly free take any
-	// request.
+	// request. For a workspace that had more than its share of all that was
+	// begun it falls in proportion. Otherwise all workspaces far above their
+	// share of the throughput would have the same limit, and those whose
+	// prompts are read sooner would take from the others.
 	Beyond float64
 }
 
@@ -33,8 +36,10 @@
 	// to the first token from now.
 	Waited time.Duration
 	Wait   time.Duration
-	// Fraction is what the workspace got as a fraction of its share.
+	// Fraction is what the workspace got as a fraction of its share of the
+	// throughput, OfBegun of its share of all that was begun.
 	Fraction float64
+	OfBegun  float64
 }
 
 // Admit reports whether the request is taken on.
@@ -44,7 +49,7 @@
 	}
 	limit := p.Within
 	if d.Fraction > 1 {
-		limit = max(p.Within/d.Fraction, p.Beyond)
+		limit = max(p.Within/d.Fraction, p.Beyond/max(d.OfBegun, 1))
 	}
 	return d.Waited+d.Wait <= time.Duration(limit*float64(d.Aim))
 }
--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -23,6 +23,9 @@
 	maxRemoteAge = 2 * time.Second
 	// levelTime is how long a computed level is used.
 	levelTime = 50 * time.Millisecond
+	// headStart is the time for whose throughput the fleet may begin work
+	// ahead: engines take on what they can begin within an aim.
+	headStart = 500 * time.Millisecond
 )
 
 // Use is what a workspace asked and what was begun for it, in tokens.
@@ -45,11 +48,16 @@
 	mu       sync.Mutex
 	accounts map[uint32]*window.Ring[Use]
 	remote   map[galenalatch.RouterID]remoteUse
+	// began is when the fleet began to serve, as far as it is known here.
+	began time.Time
 	// sums are the uses on all routers at levelAt, with own ones since.
-	sums     map[uint32]Use
-	level    float64
-	levelAt  time.Time
-	levelFor float64
+	// level is the max-min share of the throughput, begunLevel that of all
+	// that was begun.
+	sums       map[uint32]Use
+	level      float64
+	begunLevel float64
+	levelAt    time.Time
+	levelFor   float64
 }
 
 type remoteUse struct {
@@ -72,6 +80,7 @@
 func (l *Ledger) Add(now time.Time, w galenalatch.WorkspaceName, u Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.begin(now)
 	a, ok := l.accounts[Key(w)]
 	if !ok {
 		a = window.New[Use](l.window/slots, slots)
@@ -86,6 +95,27 @@
 	}
 }
 
+// begin takes a time at which the fleet served.
+func (l *Ledger) begin(at time.Time) {
+	if l.began.IsZero() || at.Before(l.began) {
+		l.began = at
+	}
+}
+
+// Age returns for how long the fleet has served, at most the window.
+func (l *Ledger) Age(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.age(now)
+}
+
+func (l *Ledger) age(now time.Time) time.Duration {
+	if l.began.IsZero() {
+		return 0
+	}
+	return min(now.Sub(l.began), l.window)
+}
+
 // Own returns the uses on this router within the window.
 func (l *Ledger) Own(now time.Time) map[uint32]Use {
 	l.mu.Lock()
@@ -111,10 +141,14 @@
 }
 
 // SetRemote records the uses on another router: those of the workspaces that
-// asked most, and of the others together.
-func (l *Ledger) SetRemote(now time.Time, r galenalatch.RouterID, uses map[uint32]Use, others Others) {
+// asked most, and of the others together. The other router has known for the
+// time of age that the fleet serves.
+func (l *Ledger) SetRemote(now time.Time, r galenalatch.RouterID, uses map[uint32]Use, others Others, age time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(uses) > 0 {
+		l.begin(now.Add(-age))
+	}
 	l.remote[r] = remoteUse{at: now, uses: uses, others: others}
 }
 
@@ -140,30 +174,37 @@
 	return uses, others
 }
 
-// Fraction returns what was begun for a workspace within the window as a
-// fraction of its max-min share. What is shared is what the fleet began for
-// all workspaces, at most rate tokens a second where rate is positive: engines
-// that fall behind the configured rate leave less to share. Workspaces below 1
-// have room in their share.
-func (l *Ledger) Fraction(now time.Time, w galenalatch.WorkspaceName, rate float64) float64 {
+// Fractions return what was begun for a workspace within the window as a
+// fraction of its max-min share: ofRate of the throughput of rate tokens a
+// second, or of what the fleet began where that is less, and ofBegun of all
+// that the fleet began. Workspaces below 1 have room in their share. A rate of
+// 0 is no bound.
+//
+// A fleet that has just begun to serve has not had the throughput of the whole
+// window yet: engines read with empty caches, and nothing shows how far they
+// have fallen behind.
+func (l *Ledger) Fractions(now time.Time, w galenalatch.WorkspaceName, rate float64) (ofRate, ofBegun float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.levelFor != rate || now.Sub(l.levelAt) >= levelTime {
 		sums, others := l.fleet(now)
 		l.sums = sums
-		capacity := others.Begun
+		begun := others.Begun
 		for _, u := range l.sums {
-			capacity += u.Begun
+			begun += u.Begun
 		}
-		if rate > 0 {
-			capacity = min(capacity, rate*l.window.Seconds())
+		l.begunLevel = Level(l.sums, others, begun)
+		l.level = l.begunLevel
+		if served := min(l.age(now)+headStart, l.window); rate > 0 && rate*served.Seconds() < begun {
+			l.level = Level(l.sums, others, rate*served.Seconds())
 		}
-		l.level, l.levelAt, l.levelFor = Level(l.sums, others, capacity), now, rate
+		l.levelAt, l.levelFor = now, rate
 	}
 	if l.level <= 0 {
-		return 0
+		return 0, 0
 	}
-	return l.sums[Key(w)].Begun / l.level
+	had := l.sums[Key(w)].Begun
+	return had / l.level, had / l.begunLevel
 }
 
 // Level returns the amount up to which every workspace gets what it asks
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -10,6 +10,18 @@
 	"github.com/galenalatch/galenalatch"
 )
 
+// newLedger returns the ledger of a fleet that has served for the window.
+func newLedger(now time.Time, window time.Duration) *Ledger {
+	l := New(window)
+	l.Add(now.Add(-window), "first", Use{})
+	return l
+}
+
+func ofRate(l *Ledger, now time.Time, w galenalatch.WorkspaceName, rate float64) float64 {
+	f, _ := l.Fractions(now, w, rate)
+	return f
+}
+
 // Guards against a level at which a workspace gets less than its max-min
 // share, or all together more than the capacity.
 func TestLevel(t *testing.T) {
@@ -44,35 +56,35 @@
 // against sums of routers that were not heard for long.
 func TestFraction(t *testing.T) {
 	const window = 4 * time.Second
-	l := New(window)
 	now := time.Unix(1000, 0)
+	l := newLedger(now, window)
 	l.Add(now, "large", Use{Asked: 3000, Begun: 2400})
 	l.Add(now, "small", Use{Asked: 100, Begun: 100})
 	// 2,000 tokens in the window: the small one gets 100, the large one 1,900.
-	assert.Equal(t, l.Fraction(now, "large", 500), 2400.0/1900)
-	l.SetRemote(now, "r2", map[uint32]Use{Key("large"): {Asked: 3000, Begun: 1400}}, Others{})
+	assert.Equal(t, ofRate(l, now, "large", 500), 2400.0/1900)
+	l.SetRemote(now, "r2", map[uint32]Use{Key("large"): {Asked: 3000, Begun: 1400}}, Others{}, 0)
 	now = now.Add(levelTime + time.Millisecond)
-	assert.Equal(t, l.Fraction(now, "large", 500), 2.0)
+	assert.Equal(t, ofRate(l, now, "large", 500), 2.0)
 	now = now.Add(maxRemoteAge)
-	assert.Equal(t, l.Fraction(now, "large", 500), 2400.0/1900)
+	assert.Equal(t, ofRate(l, now, "large", 500), 2400.0/1900)
 	now = now.Add(window)
-	assert.Equal(t, l.Fraction(now, "large", 500), 0.0)
+	assert.Equal(t, ofRate(l, now, "large", 500), 0.0)
 	assert.Equal(t, len(l.Own(now)), 0)
 }
 
 // Guards against workspaces without an entry of their own that take no part
 // in the division: a large workspace would find room that is not there.
 func TestOthers(t *testing.T) {
-	l := New(4 * time.Second)
 	now := time.Unix(1000, 0)
+	l := newLedger(now, 4*time.Second)
 	l.Add(now, "large", Use{Asked: 3000, Begun: 1400})
-	l.SetRemote(now, "r2", nil, Others{Count: 4, Use: Use{Asked: 600, Begun: 600}})
+	l.SetRemote(now, "r2", nil, Others{Count: 4, Use: Use{Asked: 600, Begun: 600}}, 0)
 	// 2,000 tokens are begun: the others get 600, the large one 1,400.
-	assert.Equal(t, l.Fraction(now, "large", 0), 1.0)
+	assert.Equal(t, ofRate(l, now, "large", 0), 1.0)
 	now = now.Add(levelTime)
-	l.SetRemote(now, "r2", nil, Others{Count: 4, Use: Use{Asked: 6000, Begun: 600}})
+	l.SetRemote(now, "r2", nil, Others{Count: 4, Use: Use{Asked: 6000, Begun: 600}}, 0)
 	// Each gets 400.
-	assert.Equal(t, l.Fraction(now, "large", 0), 3.5)
+	assert.Equal(t, ofRate(l, now, "large", 0), 3.5)
 }
 
 // Guards against shares of a throughput that the engines do not reach: while
@@ -97,18 +109,85 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l := New(4 * time.Second)
 			now := time.Unix(1000, 0)
+			l := newLedger(now, 4*time.Second)
 			for w, u := range tt.uses {
 				l.Add(now, w, u)
 			}
 			for w, want := range tt.wants {
-				assert.Equal(t, l.Fraction(now, w, tt.rate), want, "workspace %s", w)
+				assert.Equal(t, ofRate(l, now, w, tt.rate), want, "workspace %s", w)
+			}
+		})
+	}
+}
+
+// Guards against one workspace that begins the work of the whole window in the
+// first second of a fleet, while engines read with empty caches: all others
+// wait for the rest of the window.
+func TestFirstSecond(t *testing.T) {
+	const rate = 1000
+	uses := map[galenalatch.WorkspaceName]Use{"a": {Asked: 700, Begun: 700}, "b": {Asked: 1500, Begun: 1500}, "c": {Asked: 300, Begun: 300}}
+	tests := []struct {
+		name string
+		// age is for how long the fleet has served when the uses come,
+		// heard what another router says of it.
+		age, heard time.Duration
+		want       float64
+	}{
+		{"at the start", 0, 0, 1500.0 / (500.0 / 3)},
+		{"after a second", time.Second, 0, 1500.0 / 600},
+		// All that was begun is less than 4,000.
+		{"after the window", 4 * time.Second, 0, 1500.0 / 2500},
+		{"a router that joins", 0, 4 * time.Second, 1500.0 / 2500},
+		{"a router that hears of less", time.Second, 500 * time.Millisecond, 1500.0 / 600},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			l := New(4 * time.Second)
+			l.Add(now.Add(-tt.age), "a", Use{})
+			for w, u := range uses {
+				l.Add(now, w, u)
 			}
+			if tt.heard > 0 {
+				l.SetRemote(now, "r2", map[uint32]Use{Key("a"): {}}, Others{}, tt.heard)
+			}
+			assert.Equal(t, ofRate(l, now, "b", rate), tt.want)
 		})
 	}
 }
 
+// Guards against a router that takes a fleet as old because a router without
+// requests told it so, and against ages beyond the window.
+func TestAge(t *testing.T) {
+	l := New(4 * time.Second)
+	now := time.Unix(1000, 0)
+	assert.Equal(t, l.Age(now), time.Duration(0))
+	l.SetRemote(now, "r2", nil, Others{}, time.Second)
+	assert.Equal(t, l.Age(now), time.Duration(0))
+	l.SetRemote(now, "r2", map[uint32]Use{1: {Asked: 1}}, Others{}, time.Second)
+	assert.Equal(t, l.Age(now), time.Second)
+	assert.Equal(t, l.Age(now.Add(time.Hour)), 4*time.Second)
+}
+
+// Guards against workspaces far above their share of the throughput that
+// cannot be told apart, because the fleet begins much more than the
+// configured throughput.
+func TestFractionOfBegun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLedger(now, 4*time.Second)
+	l.Add(now, "a", Use{Asked: 3300, Begun: 800})
+	l.Add(now, "b", Use{Asked: 2500, Begun: 2000})
+	l.Add(now, "c", Use{Asked: 200, Begun: 200})
+	// 300 tokens in the window, 100 for each; of 3,000 that were begun 200 for
+	// the small one and 1,400 for the others.
+	ofRate, ofBegun := l.Fractions(now, "b", 75)
+	assert.Equal(t, ofRate, 20.0)
+	assert.Equal(t, ofBegun, 2000.0/1400)
+	_, ofBegun = l.Fractions(now, "a", 75)
+	assert.Equal(t, ofBegun, 800.0/1400)
+}
+
 // Guards against accounts that are kept for workspaces without requests.
 func TestOwnForgets(t *testing.T) {
 	l := New(time.Second)
@@ -125,16 +204,16 @@
 // order, and against a level that stays when the configured rate changes or
 // its time has passed.
 func TestOrderAndLevel(t *testing.T) {
-	l := New(4 * time.Second)
 	now := time.Unix(1000, 0)
+	l := newLedger(now, 4*time.Second)
 	l.Add(now, "a", Use{Asked: 1000, Begun: 1000})
 	l.Add(now.Add(2*time.Second), "a", Use{Asked: 1000, Begun: 1000})
 	l.Add(now.Add(time.Second), "a", Use{Asked: 1000, Begun: 1000})
 	now = now.Add(2 * time.Second)
 	assert.Equal(t, l.Own(now)[Key("a")], Use{Asked: 3000, Begun: 3000})
-	assert.Equal(t, l.Fraction(now, "a", 1000), 1.0)
-	assert.Equal(t, l.Fraction(now, "a", 500), 1.5, "another rate")
-	l.SetRemote(now, "r2", map[uint32]Use{Key("a"): {Asked: 1000, Begun: 1000}}, Others{})
-	assert.Equal(t, l.Fraction(now, "a", 500), 1.5, "the level is kept for a time")
-	assert.Equal(t, l.Fraction(now.Add(levelTime), "a", 500), 2.0)
+	assert.Equal(t, ofRate(l, now, "a", 1000), 1.0)
+	assert.Equal(t, ofRate(l, now, "a", 500), 1.5, "another rate")
+	l.SetRemote(now, "r2", map[uint32]Use{Key("a"): {Asked: 1000, Begun: 1000}}, Others{}, 0)
+	assert.Equal(t, ofRate(l, now, "a", 500), 1.5, "the level is kept for a time")
+	assert.Equal(t, ofRate(l, now.Add(levelTime), "a", 500), 2.0)
 }
--- a/internal/peer/use/exchange.go
+++ b/internal/peer/use/exchange.go
@@ -32,6 +32,8 @@
 	maxAge = 2 * longestInterval
 	// tokenUnit is the unit of tokens in messages.
 	tokenUnit = 1000
+	// ageUnit is the unit of the fleet's age in messages.
+	ageUnit = 100 * time.Millisecond
 )
 
 // Options configure an Exchange.
@@ -179,6 +181,7 @@
 	for k, u := range e.Ledger.Own(now) {
 		t.workspaces[k] = u
 	}
+	t.age = e.Ledger.Age(now)
 	return t.message()
 }
 
@@ -276,7 +279,7 @@
 	t := newTotal()
 	t.add(m)
 	e.Table.SetRemote(now, r, t.servers)
-	e.Ledger.SetRemote(now, r, t.workspaces, t.others)
+	e.Ledger.SetRemote(now, r, t.workspaces, t.others, t.age)
 }
 
 // Silent returns the routers that were not heard for the limit, and whether
--- a/internal/peer/use/exchange_test.go
+++ b/internal/peer/use/exchange_test.go
@@ -18,6 +18,9 @@
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 )
 
+// window is that of the fair shares.
+const window = 4 * time.Second
+
 // peer is a router with its exchange.
 type peer struct {
 	*Exchange
@@ -29,7 +32,7 @@
 
 func newPeer(t *testing.T, id galenalatch.RouterID, d galenalatch.DataCentre) *peer {
 	t.Helper()
-	p := &peer{ledger: share.New(4 * time.Second), answered: make(chan galenalatch.StoreAnswer, 10)}
+	p := &peer{ledger: share.New(window), answered: make(chan galenalatch.StoreAnswer, 10)}
 	p.Exchange = New(Options{
 		Self: id, Start: string(id) + "-1", DataCentre: d, Ledger: p.ledger,
 		Table:     placement.New(placement.Options{Self: id, Local: d, ReadRate: 50}),
@@ -63,12 +66,16 @@
 		assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
 	}
 	now := time.Now()
+	// The other router hears that the fleet has served for the window.
+	a.ledger.Add(now.Add(-window), "large", share.Use{})
 	a.ledger.Add(now, "large", share.Use{Asked: 9000, Begun: 8000})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		// 8,000 of the 4,000 tokens that fit into the window.
-		if f := b.ledger.Fraction(time.Now(), "large", 1000); f < 1.9 {
+		f, _ := b.ledger.Fractions(time.Now(), "large", 1000)
+		if f < 1.9 {
 			return poll.Continue("fraction %.2f", f)
 		}
+		assert.Assert(t, f < 2.1, "fraction %.2f", f)
 		return poll.Success()
 	}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
 
@@ -111,7 +118,7 @@
 	// above.
 	fraction := func(p *peer, want float64) func(poll.LogT) poll.Result {
 		return func(poll.LogT) poll.Result {
-			f := p.ledger.Fraction(time.Now(), "large", 1000)
+			f, _ := p.ledger.Fractions(time.Now(), "large", 1000)
 			assert.Assert(t, f <= want+0.01, "%s counts %.2f of %.2f", p.Self, f, want)
 			if f < want-0.01 {
 				return poll.Continue("%s: fraction %.2f of %.2f", p.Self, f, want)
@@ -119,6 +126,7 @@
 			return poll.Success()
 		}
 	}
+	peers[source].ledger.Add(time.Now().Add(-window), "large", share.Use{})
 	peers[source].ledger.Add(time.Now(), "large", share.Use{Asked: 9000, Begun: 8000})
 	for _, p := range peers {
 		poll.WaitOn(t, fraction(p, 2), poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
--- a/internal/peer/use/outbox_test.go
+++ b/internal/peer/use/outbox_test.go
@@ -69,6 +69,7 @@
 		p := newPeer(t, self, "a")
 		assert.NilError(t, p.SetPeers(list, topology.New(self, "a", list), "token-of-the-fleet"))
 		p.receive(relays[0], galenalatch.ElsewhereUse{Use: galenalatch.RouterUse{
+			AgeTenths:  40,
 			Workspaces: []galenalatch.WorkspaceUse{{Workspace: share.Key("large"), Asked: 5, Begun: 5}},
 		}})
 		// 5,000 of the 4,000 tokens that fit into the window.
@@ -76,7 +77,8 @@
 		if self == relays[1] {
 			want = 0
 		}
-		assert.Equal(t, p.ledger.Fraction(time.Now(), "large", 1000), want, "%s", self)
+		f, _ := p.ledger.Fractions(time.Now(), "large", 1000)
+		assert.Equal(t, f, want, "%s", self)
 	}
 }
 
--- a/internal/peer/use/received.go
+++ b/internal/peer/use/received.go
@@ -80,6 +80,7 @@
 	servers    map[uint32]placement.Load
 	workspaces map[uint32]share.Use
 	others     share.Others
+	age        time.Duration
 }
 
 func newTotal() *total {
@@ -104,13 +105,14 @@
 		t.others.Asked += float64(o.Asked) * tokenUnit
 		t.others.Begun += float64(o.Begun) * tokenUnit
 	}
+	t.age = max(t.age, time.Duration(m.AgeTenths)*ageUnit)
 }
 
 // message returns the sum in the order of its keys, so that equal sums are
 // equal messages. Of many workspaces only those that asked most have an entry:
 // the others hardly reach their share, and what they use is known as a whole.
 func (t *total) message() galenalatch.RouterUse {
-	m := galenalatch.RouterUse{}
+	m := galenalatch.RouterUse{AgeTenths: uint8(min(t.age/ageUnit, math.MaxUint8))}
 	for k, l := range t.servers {
 		m.Servers = append(m.Servers, galenalatch.ServerUse{
 			Server: k, Running: clamp(l.Running), ReadingMillis: clamp(int(l.Reading / time.Millisecond)),
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -184,12 +184,14 @@
 }
 
 // admit asks the policy, with what the workspace had of its share.
-func (g *Gateway) admit(now time.Time, d host.Demand) (share float64, ok bool) {
+func (g *Gateway) admit(now time.Time, d host.Demand) (share, ofBegun float64, ok bool) {
 	if d.Route.Kind != galenalatch.StreamWork {
-		return 0, true
+		return 0, 0, true
 	}
-	share = g.ledger.Fraction(now, d.Workspace, d.TokenRate)
-	return share, g.policy.Admit(admission.Demand{Aim: d.Route.Aim, Waited: d.Waited, Wait: d.Wait, Fraction: share})
+	share, ofBegun = g.ledger.Fractions(now, d.Workspace, d.TokenRate)
+	return share, ofBegun, g.policy.Admit(admission.Demand{
+		Aim: d.Route.Aim, Waited: d.Waited, Wait: d.Wait, Fraction: share, OfBegun: ofBegun,
+	})
 }
 
 // Run serves until ctx ends, then drains. A second signal is not needed: the
--- a/message.go
+++ b/message.go
@@ -305,6 +305,10 @@
 	// Workspaces are those that asked most, Others the rest if there is one.
 	Workspaces []WorkspaceUse `cbor:"w"`
 	Others     *OtherUse      `cbor:"o,omitempty"`
+	// AgeTenths is for how many tenths of a second the fleet has served, at
+	// most the window of fair shares. It tells a router that joins whether
+	// the fleet has just started too.
+	AgeTenths uint8 `cbor:"a,omitempty"`
 }
 
 // Elsewhere stands for all routers of the other data centres together where
