Forget the pace of services that are gone

Cause: names of services are new with each change of operators, and their paces stayed in the table and in the gateway's log state for good.

Change: both drop services that the configuration does not name. TestPaceSamples fails before.

--- a/internal/decide/placement/pace_test.go
+++ b/internal/decide/placement/pace_test.go
@@ -123,6 +123,10 @@
 	assert.Equal(t, factor, 1.0)
 	assert.Equal(t, first, 50*time.Millisecond)
 
+	// A service that is gone leaves nothing behind.
+	table.SetServices(nil)
+	assert.Equal(t, len(table.paces), 0)
+
 	full := newTable("r2", 1)
 	for range 64 {
 		mustChoose(t, full, start)
--- a/internal/decide/placement/table.go
+++ b/internal/decide/placement/table.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -69,6 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settings = s
+	maps.DeleteFunc(t.paces, func(name string, _ *pace) bool { _, ok := s[name]; return !ok })
 }
 
 // SetMembers replaces the list of routers that share cold servers.
--- a/internal/process/gateway/status.go
+++ b/internal/process/gateway/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"runtime"
 	"time"
 
@@ -24,6 +25,7 @@
 
 // logPaces logs how quickly engines read when that has changed.
 func (g *Gateway) logPaces(c *galenalatch.Configuration) {
+	maps.DeleteFunc(g.paces, func(name string, _ pace) bool { _, ok := c.Services[name]; return !ok })
 	for name, s := range c.Services {
 		if !s.Engine {
 			continue
