Test the retry budget of a fleet and the bounds of the pace

Cause: the budget was tested on one router, and the sum over routers with wrong lists was listed as not proved.

--- a/internal/decide/admission/policy_test.go
+++ b/internal/decide/admission/policy_test.go
@@ -32,6 +32,7 @@
 		{"beyond the share, through the router's own delay", Demand{Aim: aim, Wait: 500 * time.Millisecond, Overhead: 100 * time.Millisecond, Fraction: 2}, true},
 		{"beyond the share, besides the router's own delay", Demand{Aim: aim, Wait: 600 * time.Millisecond, Overhead: 100 * time.Millisecond, Fraction: 2}, false},
 		{"too late through the router's own delay", Demand{Aim: aim, Wait: 960 * time.Millisecond, Overhead: 500 * time.Millisecond, Fraction: 0.5}, false},
+		{"just in time", Demand{Aim: aim, Wait: 950 * time.Millisecond}, true},
 		{"too late", Demand{Aim: aim, Wait: 960 * time.Millisecond}, false},
 		{"too late after waiting", Demand{Aim: aim, Wait: 500 * time.Millisecond, Waited: 500 * time.Millisecond}, false},
 		{"no aim", Demand{Wait: time.Hour}, true},
--- a/internal/decide/placement/pace_test.go
+++ b/internal/decide/placement/pace_test.go
@@ -117,7 +117,11 @@
 	factor, first = table.Pace(pool)
 	assert.Equal(t, factor, float64(slowest))
 	assert.Equal(t, first, time.Duration(0))
-	// A router that sends nothing learns nothing.
+	// They count for the whole memory, and for no longer: a router that sends
+	// nothing learns nothing.
+	table.Expire(start.Add(paceMemory))
+	factor, _ = table.Pace(pool)
+	assert.Equal(t, factor, float64(slowest))
 	table.Expire(start.Add(paceMemory + 1))
 	factor, first = table.Pace(pool)
 	assert.Equal(t, factor, 1.0)
@@ -131,10 +135,23 @@
 	for range 64 {
 		mustChoose(t, full, start)
 	}
-	p := mustChoose(t, full, start)
-	assert.Equal(t, p.nominal, time.Duration(0))
-	full.First(start.Add(time.Minute), p)
-	full.Expire(start.Add(time.Minute))
+	for range paceSamples {
+		p := mustChoose(t, full, start)
+		assert.Equal(t, p.nominal, time.Duration(0))
+		full.First(start.Add(time.Second), p)
+	}
+	full.Expire(start.Add(time.Second))
 	_, first = full.Pace(pool)
 	assert.Equal(t, first, 50*time.Millisecond)
+
+	// Reading times at the bounds count.
+	edge := newTable("r3", 1)
+	for range paceSamples {
+		edge.pace(pool).observe(start, longReading, 50*time.Millisecond+2*longReading)
+		edge.pace(pool).observe(start, shortReading, shortReading+80*time.Millisecond)
+	}
+	edge.Expire(start)
+	factor, first = edge.Pace(pool)
+	assert.Equal(t, factor, 2.0)
+	assert.Equal(t, first, 80*time.Millisecond)
 }
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/config/gateway"
+	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
@@ -81,6 +83,55 @@
 	}
 }
 
+// Guards against more repeats of a fleet in a window than the operators allow,
+// in histories of requests and repeats on routers whose lists are behind by up
+// to budgetSpare routers or still have some that are gone. The operators count
+// the requests of the window or of the one before, whichever are more.
+func TestRepeatsOfFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.IntRange(1, 30).Draw(t, "routers")
+		s := gateway.Default()
+		s.Repeats.Fixed = float64(rapid.IntRange(0, 200).Draw(t, "fixed"))
+		window := s.Repeats.Window.Std()
+		budgets := make([]*budget.Budget, routers)
+		for i := range budgets {
+			g := &Gateway{settings: s}
+			g.routers.Store(int64(rapid.IntRange(max(routers-budgetSpare, 1), routers+3).Draw(t, "listed")))
+			budgets[i] = g.newBudget()
+			budgets[i].Fixed = g.fixedRepeats()
+		}
+		now := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		between := func(times []time.Time, oldest, newest time.Duration) int {
+			n := 0
+			for _, at := range times {
+				if age := now.Sub(at); age >= newest && age < oldest {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				b.Request(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "repeats") {
+				if b.Repeat(now) {
+					repeats = append(repeats, now)
+				}
+			}
+			counted := max(between(requests, window, 0), between(requests, window*3/2, window/2), between(requests, 2*window, window))
+			allowed := s.Repeats.Ratio*float64(counted) + s.Repeats.Fixed
+			if n := between(repeats, window, 0); float64(n) > allowed {
+				t.Fatalf("%d repeats in a window; allowed: %.1f", n, allowed)
+			}
+		}
+	})
+}
+
 // Guards against large fleets in which all or none follow the store.
 func TestRelayMode(t *testing.T) {
 	var list []galenalatch.Instance
