Treat a stream that ends inside an event as broken off

Callers saw a stream with status 200 that ended inside an event as complete, and a stream that may be resumed was not resumed.

copyEvents sent what was pending at the end of the body and took every end for the end of the stream. A body without length and chunks ends with its connection, so its end proves nothing. Now only whole events are forwarded; an end inside one counts as a break, after which the stream is resumed or the caller's connection is closed.

TestStreams has three new cases. Event ends by CR or by mixed line ends are recognized too, since such a stream would now break.

--- a/internal/caller/host/handler_test.go
+++ b/internal/caller/host/handler_test.go
@@ -160,6 +160,27 @@
 		assert.Equal(t, a.body, all)
 		assert.Equal(t, f.runs("r-1"), 2)
 	})
+	t.Run("unframed", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.set(backend.Unframed)
+		a := f.call(t.Context(), "POST", "/stream/once/1", "r-1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, all)
+	})
+	t.Run("resumed after an incomplete event without framing", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.set(backend.TruncateUnframed)
+		a := f.call(t.Context(), "POST", "/stream/1", "r-1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.body, all)
+		assert.Equal(t, f.runs("r-1"), 2)
+	})
+	t.Run("unframed and not resumable", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.set(backend.TruncateUnframed)
+		a := f.call(t.Context(), "POST", "/stream/once/1", "r-1", "")
+		assert.Assert(t, a.err != nil, "a broken stream must not look complete: %q", a.body)
+	})
 	t.Run("resumed response without seal", func(t *testing.T) {
 		f := newFixture(t, configuration())
 		f.servers[0].SetBehaviour(backend.TruncateStream)
--- a/internal/caller/host/stream.go
+++ b/internal/caller/host/stream.go
@@ -54,6 +54,10 @@
 	return nil
 }
 
+// errTornEvent means that a stream ended inside an event. Its body may have neither a
+// length nor chunks, so that its end does not show that it is complete.
+var errTornEvent = errors.New("the stream ended inside an event")
+
 // copyEvents forwards events until the end of the stream. It sends the head with
 // the first ones, unless an earlier attempt has sent it.
 func (t *transaction) copyEvents(ctx context.Context, a *exchange.Response, p *placement.Reservation, flush *http.ResponseController) error {
@@ -71,9 +75,7 @@
 		pending = append(pending, buffer[:n]...)
 		end := errors.Is(err, io.EOF)
 		events := completeEvents(pending)
-		if end {
-			events = pending
-		}
+		end = end && len(events) == len(pending)
 		if !t.headSent && (end || len(events) > 0) {
 			t.sendHead(a, -1)
 		}
@@ -84,6 +86,8 @@
 		switch {
 		case end:
 			return nil
+		case errors.Is(err, io.EOF):
+			return fmt.Errorf("stream after event %q: %w", t.lastEventID, errTornEvent)
 		case err != nil:
 			return errors.Join(context.Cause(ctx), fmt.Errorf("stream after event %q: %w", t.lastEventID, err))
 		case len(pending) > maxEventSize:
@@ -138,7 +142,7 @@
 // complete event.
 func completeEvents(b []byte) []byte {
 	end := -1
-	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
+	for _, separator := range []string{"\n\n", "\r\r", "\n\r\n"} {
 		if i := bytes.LastIndex(b, []byte(separator)); i >= 0 {
 			end = max(end, i+len(separator))
 		}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -37,6 +37,12 @@
 	// TruncateStream runs the request and breaks off a stream inside its second
 	// event. Resumed streams and other responses are sent as with Answer.
 	TruncateStream Behaviour = "torn"
+	// Unframed runs the request and sends a stream that has neither a length nor
+	// chunks and ends with its connection.
+	Unframed Behaviour = "unframed"
+	// TruncateUnframed is Unframed with a stream that ends inside its second
+	// event. Resumed streams and other responses are sent as with Answer.
+	TruncateUnframed Behaviour = "torn unframed"
 	// WrongRequestFirst runs the request and sends a response to another request
 	// before the right one. Streams are sent as with Answer.
 	WrongRequestFirst Behaviour = "foreign"
@@ -268,7 +274,11 @@
 		return s.write(c, response("200 OK", s.headerNames.Request+": "+id+"\r\n", responseBody))
 	}
 	if streaming {
-		return s.stream(c, r, header, behaviour == TruncateStream && r.Header.Get(s.headerNames.LastEvent) == "")
+		resumed := r.Header.Get(s.headerNames.LastEvent) != ""
+		return s.stream(c, r, header, streamFaults{
+			truncate: (behaviour == TruncateStream || behaviour == TruncateUnframed) && !resumed,
+			unframed: behaviour == Unframed || behaviour == TruncateUnframed && !resumed,
+		})
 	}
 	return s.write(c, response("200 OK", header, responseBody))
 }
@@ -290,23 +300,32 @@
 	return false
 }
 
-// stream sends the events after the last one that the caller has received. If
-// truncate is set, it breaks off inside the second event.
-func (s *Server) stream(c net.Conn, r *http.Request, header string, truncate bool) bool {
+// streamFaults selects the failures of a stream: truncate breaks it off inside its
+// second event, unframed sends neither a length nor chunks.
+type streamFaults struct {
+	truncate, unframed bool
+}
+
+// stream sends the events after the last one that the caller has received.
+func (s *Server) stream(c net.Conn, r *http.Request, header string, f streamFaults) bool {
 	// Without a valid number the stream starts at event 1.
 	lastEvent, _ := strconv.Atoi(r.Header.Get(s.headerNames.LastEvent))
-	if !s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
+	framing, piece := "Transfer-Encoding: chunked\r\n", func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+	if f.unframed {
+		framing, piece = "Connection: close\r\n", func(data string) string { return data }
+	}
+	if !s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\n"+framing+"\r\n") {
 		return false
 	}
 	for i := lastEvent + 1; i <= s.Events; i++ {
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
-		if truncate && i == lastEvent+2 {
+		if f.truncate && i == lastEvent+2 {
 			event = event[:len(event)-4]
 		}
-		if !s.write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) || truncate && i == lastEvent+2 {
+		if !s.write(c, piece(event)) || f.truncate && i == lastEvent+2 {
 			return false
 		}
 		time.Sleep(s.Gap)
 	}
-	return s.write(c, "0\r\n\r\n")
+	return !f.unframed && s.write(c, "0\r\n\r\n")
 }
