Log which prompt parts a server had when it ended

The logs of BUDGET could not tell a part that ends servers from servers that fall over: they named no parts, and a broken connection looked the same whether the server had ended or not.

An exchange that breaks off before the first event of its request is now followed by a connection to the server, and event 8002 says whether an answer had begun, whether nothing listens there any more, and the parts of the prompt that requests may share. galenalatch_gateway_interruptions_total counts them.

--- a/internal/backend/exchange/client.go
+++ b/internal/backend/exchange/client.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/galenalatch/galenalatch"
 )
 
@@ -30,6 +32,8 @@
 	// MaxIdle bounds the idle connections to one server. The oldest one is
 	// closed when there are more.
 	MaxIdle int
+	// ProbeTimeout bounds the time in which Refuses waits for a connection.
+	ProbeTimeout time.Duration
 	// OnDial, if set, is called after each new connection was opened.
 	OnDial func()
 }
@@ -38,6 +42,8 @@
 // It is safe for concurrent use.
 type Client struct {
 	Options
+	probes singleflight.Group
+
 	mu   sync.Mutex
 	idle map[galenalatch.ServerID][]*connection
 }
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -124,7 +124,7 @@
 	h := New(Options{
 		View: f.view, Table: table, Headers: headers.Headers{}, Events: f.events, MaxProofAge: 400 * time.Millisecond, MaxDenialAge: 200 * time.Millisecond,
 		Client: exchange.New(exchange.Options{
-			Dial: f.dial, Headers: headers.Headers{}, DialTimeout: time.Second, MaxIdle: 4,
+			Dial: f.dial, Headers: headers.Headers{}, DialTimeout: time.Second, ProbeTimeout: time.Second, MaxIdle: 4,
 		}),
 		NewBudget:    func() *budget.Budget { return &budget.Budget{Window: 10 * time.Second} },
 		FixedRetries: func() float64 { return f.fixedRetries },
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -119,6 +119,8 @@
 	Waited    time.Duration
 	FirstByte time.Duration
 	Cold      bool
+	// Interruption describes how the last attempt broke off.
+	Interruption Interruption
 }
 
 // Handler serves the requests of callers. It is safe for concurrent use.
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -55,6 +55,8 @@
 	failedResponse *bufferedResponse
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// begun is set when the head of the answer of the last attempt was received.
+	begun bool
 	// headSent is set once the head of a response was sent to the caller.
 	headSent bool
 }
@@ -71,7 +73,7 @@
 		reservation, err := t.chooseServer(ctx)
 		if err == nil {
 			err = t.attempt(ctx, reservation)
-			t.recordResult(reservation, err)
+			t.recordResult(ctx, reservation, err)
 			if err == nil {
 				return
 			}
@@ -130,7 +132,7 @@
 }
 
 // recordResult records the result of an attempt in the table and in the log.
-func (t *transaction) recordResult(p *placement.Reservation, err error) {
+func (t *transaction) recordResult(ctx context.Context, p *placement.Reservation, err error) {
 	result, status := placement.Served, 0
 	var failed *responseError
 	var unsent *exchange.NotSentError
@@ -150,6 +152,7 @@
 		result = placement.Cancelled
 	default:
 		result = placement.Broken
+		t.decision.Interruption = t.interruption(ctx, p)
 	}
 	t.h.Table.Release(time.Now(), p, result)
 	t.h.Events.Attempted(t.call.ID, t.decision, status, err)
@@ -185,6 +188,7 @@
 // was received.
 func (t *transaction) send(ctx context.Context, p *placement.Reservation) (*exchange.Response, error) {
 	t.tried = append(t.tried, p.Server)
+	t.begun, t.decision.Interruption = false, Interruption{}
 	last := t.lastEventID
 	if last == "" {
 		last = t.call.LastEvent
@@ -213,7 +217,7 @@
 		return nil, err
 	}
 	if !a.Head.NotRun {
-		t.mayHaveRun = true
+		t.mayHaveRun, t.begun = true, true
 	}
 	return a, nil
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -53,8 +53,10 @@
 	storeSilence  = time.Second
 	serverSilence = time.Second
 	// dialTimeout bounds the time to open a connection to a backend server,
-	// maxIdlePerServer the number of idle connections to one.
+	// probeTimeout that to find out whether a server has ended, before a request
+	// is retried. maxIdlePerServer is the number of idle connections to a server.
 	dialTimeout      = 400 * time.Millisecond
+	probeTimeout     = 100 * time.Millisecond
 	maxIdlePerServer = 16
 	// expiryInterval is the interval at which expired connections and servers
 	// are removed.
@@ -149,7 +151,7 @@
 	})
 	g.client = exchange.New(exchange.Options{
 		Dial: dial.Dialer{Silence: serverSilence}.DialContext, Headers: platform.Headers{},
-		DialTimeout: dialTimeout, MaxIdle: maxIdlePerServer, OnDial: g.metrics.dials.Inc,
+		DialTimeout: dialTimeout, ProbeTimeout: probeTimeout, MaxIdle: maxIdlePerServer, OnDial: g.metrics.dials.Inc,
 	})
 	g.handler = host.New(host.Options{
 		View: g.view, Table: g.table, Client: g.client, Headers: platform.Headers{}, Events: obs,
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -22,8 +22,10 @@
 	responses *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
-	firstByte *prometheus.HistogramVec
-	dials     prometheus.Counter
+	// interruptions counts requests without a first event whose server ended.
+	interruptions *prometheus.CounterVec
+	firstByte     *prometheus.HistogramVec
+	dials         prometheus.Counter
 }
 
 // counters are the values that other parts of the gateway count.
@@ -33,12 +35,13 @@
 
 func newMetrics(o counters) *gatewayMetrics {
 	c := &gatewayMetrics{
-		registry:  prometheus.NewRegistry(),
-		responses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_answers_total", Help: "Final answers of requests that were sent to a backend server, by status; 0 stands for a closed connection."}, []string{"status"}),
-		refusals:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_refusals_total", Help: "Requests that were not run, by kind."}, []string{"kind"}),
-		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_attempts_total", Help: "Attempts at backend servers by result."}, []string{"result"}),
-		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galenalatch_gateway_first_piece_seconds", Help: "Time from the arrival of a request to the first piece of its answer, by service.", Buckets: firstByteBuckets}, []string{"service"}),
-		dials:     prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_dials_total", Help: "New connections to backend servers."}),
+		registry:      prometheus.NewRegistry(),
+		responses:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_answers_total", Help: "Final answers of requests that were sent to a backend server, by status; 0 stands for a closed connection."}, []string{"status"}),
+		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_refusals_total", Help: "Requests that were not run, by kind."}, []string{"kind"}),
+		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_attempts_total", Help: "Attempts at backend servers by result."}, []string{"result"}),
+		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_interruptions_total", Help: "Requests with a prompt whose server ended before their first event, by whether the answer had begun."}, []string{"begun"}),
+		firstByte:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galenalatch_gateway_first_piece_seconds", Help: "Time from the arrival of a request to the first piece of its answer, by service.", Buckets: firstByteBuckets}, []string{"service"}),
+		dials:         prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_dials_total", Help: "New connections to backend servers."}),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_log_lines_dropped_total", Help: "Log lines that were not written."},
 		func() float64 { return float64(o.droppedLines()) })
@@ -46,7 +49,7 @@
 		func() float64 { return float64(o.routers()) })
 	shed := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_gateway_shed_connections_total", Help: "New connections that were closed without reading a request because the processor was overloaded."},
 		func() float64 { return float64(o.shedConnections()) })
-	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.firstByte, c.dials, lines, listed, shed,
+	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.firstByte, c.dials, lines, listed, shed,
 		collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return c
 }
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
@@ -68,8 +70,17 @@
 	if err == nil {
 		return
 	}
-	o.log.Event(events.AttemptEnded, "request", r, "server", d.Server, "attempt", d.Attempt, "status", status, "error", err)
 	o.metrics.attempts.WithLabelValues("failed").Inc()
+	i := d.Interruption
+	if len(i.Parts) == 0 {
+		o.log.Event(events.AttemptEnded, "request", r, "server", d.Server, "attempt", d.Attempt, "status", status, "error", err)
+		return
+	}
+	o.log.Event(events.AttemptEnded, "request", r, "server", d.Server, "attempt", d.Attempt, "status", status,
+		"begun", i.Begun, "serverEnded", i.ServerEnded, "parts", partIDs(i.Parts), "error", err)
+	if i.ServerEnded {
+		o.metrics.interruptions.WithLabelValues(strconv.FormatBool(i.Begun)).Inc()
+	}
 }
 
 // Refused implements host.Events.
@@ -90,6 +101,15 @@
 	o.metrics.recordEnd(d, status, err)
 }
 
+// partIDs returns the ids of prompt parts, separated by commas.
+func partIDs(parts []galenalatch.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // roundToMillis shortens a duration for a log line.
 func roundToMillis(d time.Duration) time.Duration {
 	return d.Round(time.Millisecond)
--- a/internal/process/gateway/observer_test.go
+++ b/internal/process/gateway/observer_test.go
@@ -40,3 +40,15 @@
 		assert.Assert(t, strings.Contains(out.String(), want), out.String())
 	}
 }
+
+// Guards against logs from which a crash cannot be attributed to a prompt part.
+func TestInterruptionIsLogged(t *testing.T) {
+	var out strings.Builder
+	log, err := events.New(&out, "info", "logfmt")
+	assert.NilError(t, err)
+	zero := func() int64 { return 0 }
+	o := observer{log: log, metrics: newMetrics(counters{zero, zero, zero})}
+	i := host.Interruption{Parts: []galenalatch.PromptPart{{ID: "a1"}, {ID: "b2"}}, Begun: true, ServerEnded: true}
+	o.Attempted("r-1", host.Decision{Interruption: i}, 0, io.ErrUnexpectedEOF)
+	assert.Assert(t, strings.Contains(out.String(), "begun=true serverEnded=true parts=a1,b2"), out.String())
+}
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -202,7 +202,7 @@
 	RequestPlaced: {log.InfoLevel, "request placed",
 		"A backend server was selected for a request. The fields are the inputs: the version of the configuration and the age of the proof that it is the newest, the predicted time to the first token, the prompt tokens that the server is expected to have in its cache, and the cost of a stream in tokens (`cost`).", none},
 	AttemptEnded: {log.InfoLevel, "attempt failed",
-		"A request to a backend server failed; `error` is the reason. The request may be sent to another server.",
+		"A request to a backend server failed; `error` is the reason. The request may be sent to another server. For a request that has had no event of its answer yet, `begun` says whether the head of an answer was received, `serverEnded` whether the server has ended without a plan, and `parts` are the parts of its prompt without the last one.",
 		"When most of them concern one server, examine it."},
 	GatewayRefused: {log.InfoLevel, "request not run",
 		"A request was refused and has not run. `error` begins with the error kind: `queueFull` for lack of capacity, `catalogueStale` when the configuration could not be confirmed to be the newest, `serverUnreached` when no server could be reached.",
