--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -131,12 +131,8 @@
 		Admit:        func(time.Time, AdmissionRequest) (share.Fractions, bool) { return share.Fractions{}, !f.refuseAll },
 		Ledger:       share.New(4 * time.Second),
 	})
-	for _, id := range []galenalatch.ServerID{"s1", "s2"} {
-		s, err := backend.New(id, backend.DefaultHeaderNames)
-		assert.NilError(t, err)
-		t.Cleanup(func() { assert.NilError(t, s.Close()) })
-		f.servers = append(f.servers, s)
-		f.store.Register(galenalatch.Registration{ID: id, Service: service, Address: s.Address(), DataCentre: "a", Slots: 4})
+	for range 2 {
+		f.addServer(t)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -156,6 +152,21 @@
 	return f
 }
 
+// addServer starts a server and registers it.
+func (f *fixture) addServer(t testing.TB) {
+	t.Helper()
+	id := galenalatch.ServerID(fmt.Sprint("s", len(f.servers)+1))
+	s, err := backend.New(id, backend.DefaultHeaderNames)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if !s.Ended() {
+			assert.NilError(t, s.Close())
+		}
+	})
+	f.servers = append(f.servers, s)
+	f.store.Register(galenalatch.Registration{ID: id, Service: service, Address: s.Address(), DataCentre: "a", Slots: 4})
+}
+
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if f.beforeDial != nil {
 		f.beforeDial(address)
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -74,11 +74,13 @@
 	// Expected is the header with the ID of the server that the request is
 	// for. A server rejects requests for other servers.
 	Expected string
+	// Prompt is the header that lists the parts of the prompt.
+	Prompt string
 }
 
 // DefaultHeaderNames holds the header names of package headers.
 var DefaultHeaderNames = HeaderNames{
-	Request: headers.Request, LastEvent: headers.LastEvent, Seal: headers.Seal, NotRun: headers.NotRun, Expected: headers.Server,
+	Request: headers.Request, LastEvent: headers.LastEvent, Seal: headers.Seal, NotRun: headers.NotRun, Expected: headers.Server, Prompt: headers.Prompt,
 }
 
 // Server is one backend server on a loopback address.
@@ -97,6 +99,11 @@
 	cancelled   map[string]bool
 	runHeaders  []http.Header
 	runLog      []Run
+	// crashPart is the prompt part on which the server ends; empty if there is
+	// none. ended is set once it has.
+	crashPart   string
+	ended       bool
+	open        map[net.Conn]struct{}
 	connections int
 	received    int
 }
@@ -124,7 +131,7 @@
 	}
 	s := &Server{
 		ID: id, Events: 3, headerNames: n, listener: l, behaviour: Answer,
-		runs: make(map[string]int), cancelled: make(map[string]bool),
+		runs: make(map[string]int), cancelled: make(map[string]bool), open: make(map[net.Conn]struct{}),
 	}
 	go s.run()
 	return s, nil
@@ -143,6 +150,40 @@
 	s.behaviour = b
 }
 
+// CrashOn makes the server end when it begins a stream for a prompt with the part:
+// it closes its listener and all connections after the head of the answer.
+func (s *Server) CrashOn(part string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPart = part
+}
+
+// Ended reports whether the server has ended by a prompt part.
+func (s *Server) Ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// crash ends the server.
+func (s *Server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	// The process has ended, so that errors of Close have no effect.
+	_ = s.listener.Close()
+	for c := range s.open {
+		_ = c.Close()
+	}
+}
+
+// crashes reports whether the server ends when it begins the answer to r.
+func (s *Server) crashes(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashPart != "" && strings.Contains(" "+r.Header.Get(s.headerNames.Prompt), " "+s.crashPart+":")
+}
+
 // Runs returns how often the request with the given ID was run.
 func (s *Server) Runs(id string) int {
 	s.mu.Lock()
@@ -190,6 +231,7 @@
 		}
 		s.mu.Lock()
 		s.connections++
+		s.open[c] = struct{}{}
 		s.mu.Unlock()
 		go s.loop(c)
 	}
@@ -198,7 +240,12 @@
 // loop serves one connection.
 func (s *Server) loop(c net.Conn) {
 	// An error of Close has no effect: the connection has ended either way.
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+	}()
 	b := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(b)
@@ -317,6 +364,10 @@
 	if !s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\n"+framing+"\r\n") {
 		return false
 	}
+	if s.crashes(r) {
+		s.crash()
+		return false
+	}
 	for i := lastEvent + 1; i <= s.Events; i++ {
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 		if f.truncate && i == lastEvent+2 {
