Hold back requests with a prompt part that ends servers

Cause: crashes were counted nowhere by what the requests had in common, and an interrupted request was retried at once, which ended a second server.

A request without a first event at a server that has ended makes its shared parts suspects; a first event clears its parts, which never happens for the deadly one. Routers exchange the states of crashes, which only advance, so that the lists become equal in any order of messages; relays pass them on. A request is refused when a part of it has two crashes with a begun answer, or three without, that no suspect part explains which the request lacks. So a part that sound requests share with deadly ones stays in use and is cleared by them. A request whose answer had begun is not retried. The refusal says that it has not run and asks for no return. One router lets one request through after 5 and one after 10 minutes, not more.

--- a/internal/caller/host/accept.go
+++ b/internal/caller/host/accept.go
@@ -25,6 +25,9 @@
 	if err := t.match(); err != nil {
 		return err
 	}
+	if err := t.checkPrompt(); err != nil {
+		return err
+	}
 	t.h.withBudget(t.decision.Service, func(b *budget.Budget) bool { b.CountRequest(t.arrival); return true })
 	t.timeLimit = defaultTimeLimit
 	for _, d := range []time.Duration{t.call.Deadline, t.route.Timeout} {
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/view"
 	"github.com/galenalatch/galenalatch/internal/standin/backend"
@@ -130,6 +131,10 @@
 		FixedRetries: func() float64 { return f.fixedRetries },
 		Admit:        func(time.Time, AdmissionRequest) (share.Fractions, bool) { return share.Fractions{}, !f.refuseAll },
 		Ledger:       share.New(4 * time.Second),
+		Quarantine: quarantine.New(quarantine.Options{
+			Owner: func(uint64) bool { return false },
+			Held:  func(_ uint64, name string, _ int) { f.events.add("held %s", name) }, Released: func(_ uint64, name string) { f.events.add("released %s", name) },
+		}),
 	})
 	for range 2 {
 		f.addServer(t)
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -22,6 +22,7 @@
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/view"
 )
@@ -55,6 +56,8 @@
 	// Ledger counts the tokens that workspaces request and that are started
 	// for them.
 	Ledger *share.Ledger
+	// Quarantine holds the prompt parts that end servers.
+	Quarantine *quarantine.List
 }
 
 // AdmissionRequest holds the inputs of the admission decision for a request.
--- a/internal/caller/host/interruption.go
+++ b/internal/caller/host/interruption.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 )
 
 // Interruption describes an exchange that broke off before its request had its first
@@ -21,15 +22,56 @@
 	ServerEnded bool
 }
 
+// suspicious reports whether the request itself may have ended the server. It is not
+// sent to another one, which it might end as well.
+func (i Interruption) suspicious() bool {
+	return i.Begun && i.ServerEnded
+}
+
+// sharedParts returns the parts of the prompt that other requests may have in
+// common. The last part belongs to the request alone.
+func (t *transaction) sharedParts() []galenalatch.PromptPart {
+	return t.call.Prompt[:max(len(t.call.Prompt)-1, 0)]
+}
+
+// checkPrompt refuses a request with a prompt part that ends servers. The caller is
+// not asked to return, since it would be refused again.
+func (t *transaction) checkPrompt() error {
+	if t.trial {
+		return nil
+	}
+	f, held := t.h.Quarantine.Check(time.Now(), t.call.Model, t.sharedParts())
+	t.trial = f.Trial
+	if !held {
+		return nil
+	}
+	return galenalatch.KindPromptHeld.Errorf("%d backend servers ended when they began an answer on prompt part %.64q, the last one %s ago", f.Crashes, f.Part, f.Age.Round(time.Second))
+}
+
+// recordFirstEvent records that the request has the first event of its answer.
+func (t *transaction) recordFirstEvent() {
+	t.h.Quarantine.RecordFirstEvent(t.call.Model, t.sharedParts())
+}
+
+// recordInterruption records an exchange that broke off. If its server has ended,
+// the parts of the prompt become suspects.
+func (t *transaction) recordInterruption(ctx context.Context, p *placement.Reservation) {
+	i := t.interruption(ctx, p)
+	t.decision.Interruption = i
+	if i.ServerEnded {
+		t.h.Quarantine.RecordCrash(time.Now(), quarantine.Crash{
+			Server: p.Server, Started: p.Started, Model: t.call.Model, Parts: i.Parts, Begun: i.Begun,
+		})
+	}
+}
+
 // interruption describes an exchange that broke off.
 func (t *transaction) interruption(ctx context.Context, p *placement.Reservation) Interruption {
-	if t.headSent || len(t.call.Prompt) < 2 {
+	parts := t.sharedParts()
+	if t.headSent || len(parts) == 0 {
 		return Interruption{}
 	}
-	return Interruption{
-		// The last part belongs to the request alone.
-		Parts: t.call.Prompt[:len(t.call.Prompt)-1], Begun: t.begun, ServerEnded: t.serverEnded(ctx, p),
-	}
+	return Interruption{Parts: parts, Begun: t.begun, ServerEnded: t.serverEnded(ctx, p)}
 }
 
 // serverEnded reports whether the process of a server has ended unplanned. The end
--- a/internal/caller/host/response.go
+++ b/internal/caller/host/response.go
@@ -99,6 +99,9 @@
 		t.failedResponse = b
 		return &responseError{status: a.Status}
 	}
+	if a.Status < http.StatusMultipleChoices {
+		t.recordFirstEvent()
+	}
 	t.h.Events.Ended(t.call.ID, t.decision, a.Status, nil)
 	b.write(t)
 	return nil
--- a/internal/caller/host/stream.go
+++ b/internal/caller/host/stream.go
@@ -77,6 +77,7 @@
 		events := completeEvents(pending)
 		end = end && len(events) == len(pending)
 		if !t.headSent && (end || len(events) > 0) {
+			t.recordFirstEvent()
 			t.sendHead(a, -1)
 		}
 		if err := t.sendEvents(events, flush); err != nil {
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -57,6 +57,8 @@
 	lastEventID string
 	// begun is set when the head of the answer of the last attempt was received.
 	begun bool
+	// trial is set when the request is sent although a part of its prompt is held.
+	trial bool
 	// headSent is set once the head of a response was sent to the caller.
 	headSent bool
 }
@@ -152,7 +154,7 @@
 		result = placement.Cancelled
 	default:
 		result = placement.Broken
-		t.decision.Interruption = t.interruption(ctx, p)
+		t.recordInterruption(ctx, p)
 	}
 	t.h.Table.Release(time.Now(), p, result)
 	t.h.Events.Attempted(t.call.ID, t.decision, status, err)
@@ -161,12 +163,12 @@
 // shouldRetry reports whether the request is sent to another server. It takes a
 // retry from the budget, unless the last attempt was not sent.
 func (t *transaction) shouldRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || t.headSent && !t.route.Resumable {
+	if ctx.Err() != nil || t.headSent && !t.route.Resumable || t.decision.Interruption.suspicious() {
 		return false
 	}
 	var unsent *exchange.NotSentError
 	if errors.As(err, &unsent) {
-		return t.connectFailures < maxConnectFailures
+		return t.connectFailures < maxConnectFailures && galenalatch.KindOf(err) != galenalatch.KindPromptHeld
 	}
 	var failed *responseError
 	var refused *galenalatch.Error
@@ -232,7 +234,7 @@
 	if ingress.CallerDisconnected(t.r.Context()) {
 		return errors.New("the caller closed its connection")
 	}
-	return nil
+	return t.checkPrompt()
 }
 
 // refuse sends the response to a request that no server has run. If the caller
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -58,6 +58,8 @@
 	Server     galenalatch.ServerID
 	Address    string
 	DataCentre galenalatch.DataCentre
+	// Started identifies the process of the server.
+	Started int64
 	// Wait is the predicted time to the first token, or to the response for
 	// plain services.
 	Wait time.Duration
@@ -129,7 +131,7 @@
 		return nil, false
 	}
 	p := &Reservation{
-		Server: best.ID, Address: best.Address, DataCentre: best.DataCentre, server: best,
+		Server: best.ID, Address: best.Address, DataCentre: best.DataCentre, Started: best.Started, server: best,
 		Wait: bestEstimate.wait, Overhead: bestEstimate.overhead, Cached: bestEstimate.cached, Cold: bestEstimate.cold,
 		cost: bestEstimate.cost, nominal: bestEstimate.nominal, keys: keys, parts: r.Prompt,
 	}
--- /dev/null
+++ b/internal/decide/quarantine/list.go
@@ -0,0 +1,202 @@
+// Package quarantine finds the prompt parts that end backend servers and holds
+// requests with them back.
+//
+// A server that ends on a part does so when it begins an answer, whatever else the
+// prompt holds. Each request without a first event at a server that has ended makes
+// the parts of its prompt suspects of that crash. A first event of any request
+// clears its parts, since a deadly part never gets that far. What remains are
+// crashes that a part can explain; the routers exchange them, because in a large
+// fleet no router sees two crashes by itself.
+//
+// For each part and crash the state only advances: waiting, begun, cleared. So the
+// lists of all routers become equal, in whatever order messages arrive. The package
+// reads no clock: all times are passed in.
+package quarantine
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+const (
+	// waitingPoints and begunPoints are the weights of a crash for a part whose
+	// request waited for its answer or whose answer had begun. Requests that wait
+	// are mostly innocent. holdPoints is the sum from which a part is held: two
+	// crashes with a begun answer, or three without.
+	waitingPoints = 2
+	begunPoints   = 3
+	holdPoints    = 2 * begunPoints
+	// maxSuspects and maxCrashes bound the list and the crashes of one part.
+	maxSuspects = 512
+	maxCrashes  = 32
+	// suspicionTime is how long the crashes of a part that is not held are kept,
+	// clearedTime that for a part of which all are cleared, so that routers with
+	// older lists learn of it.
+	suspicionTime = 10 * time.Minute
+	clearedTime   = time.Minute
+	// firstTrial is the time after the newest crash at which one request with a
+	// held part is let through. It doubles with each of maxTrials trials, of
+	// which each may end a server.
+	firstTrial = 5 * time.Minute
+	maxTrials  = 2
+)
+
+// Options configure a List.
+type Options struct {
+	// Owner reports whether this router, and no other one, may let a request with
+	// a held part through as a trial.
+	Owner func(part uint64) bool
+	// Held is called when a part is held, with the number of its crashes. Its
+	// name is empty if this router has seen no request with it. Released is called
+	// when it is no longer held. They must not block or call the list.
+	Held     func(part uint64, name string, crashes int)
+	Released func(part uint64, name string)
+}
+
+// Crash is the end of a server as seen by one of its requests without a first event.
+type Crash struct {
+	// Server and Started identify the process that has ended.
+	Server  galenalatch.ServerID
+	Started int64
+	Model   string
+	// Parts are the parts of the prompt that other requests may have in common.
+	Parts []galenalatch.PromptPart
+	// Begun is set when the head of the answer was received.
+	Begun bool
+}
+
+// List holds the suspected prompt parts. It is safe for concurrent use.
+type List struct {
+	Options
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	sentAll  time.Time
+}
+
+// New returns a list without suspects.
+func New(o Options) *List {
+	return &List{Options: o, suspects: make(map[uint64]*suspect)}
+}
+
+// Key returns the hash that identifies a part of prompts for a model.
+func Key(model, part string) uint64 {
+	d := xxhash.New()
+	// A digest never returns an error.
+	_, _ = d.WriteString(model + "\x00" + part)
+	return d.Sum64()
+}
+
+// crashKey identifies one process of a server in messages between routers.
+func crashKey(id galenalatch.ServerID, started int64) uint32 {
+	return uint32(xxhash.Sum64String(string(id) + "\x00" + strconv.FormatInt(started, 10)))
+}
+
+// RecordCrash makes the parts suspects of a crash.
+func (l *List) RecordCrash(now time.Time, c Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := galenalatch.CrashWaiting
+	if c.Begun {
+		state = galenalatch.CrashBegun
+	}
+	for _, p := range c.Parts {
+		key := Key(c.Model, p.ID)
+		s := l.suspect(now, key)
+		if s == nil {
+			continue
+		}
+		s.name = p.ID
+		if s.advance(crashKey(c.Server, c.Started), state) {
+			s.newest, s.changed = now, true
+			l.report(key, s)
+		}
+	}
+}
+
+// RecordFirstEvent clears the parts of a request that got the first event of its
+// answer.
+func (l *List) RecordFirstEvent(model string, parts []galenalatch.PromptPart) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.suspects) == 0 {
+		return
+	}
+	for _, p := range parts {
+		key := Key(model, p.ID)
+		if s, ok := l.suspects[key]; ok && s.clear() {
+			s.changed = true
+			l.report(key, s)
+		}
+	}
+}
+
+// Release clears a part on the order of an operator. It reports false if the part
+// is not in the list.
+func (l *List) Release(part uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.suspects[part]
+	if ok && s.clear() {
+		s.changed = true
+		l.report(part, s)
+	}
+	return ok
+}
+
+// Expire removes suspects that are neither held nor new.
+func (l *List) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, s := range l.suspects {
+		age := now.Sub(s.newest)
+		if s.cleared() && age > clearedTime || !s.held && age > suspicionTime {
+			delete(l.suspects, key)
+		}
+	}
+}
+
+// suspect returns the entry of a part. In a full list it replaces the oldest one that
+// is not held, and returns nil when all are held.
+func (l *List) suspect(now time.Time, key uint64) *suspect {
+	if s, ok := l.suspects[key]; ok {
+		return s
+	}
+	if len(l.suspects) >= maxSuspects && !l.evict() {
+		return nil
+	}
+	s := &suspect{crashes: make(map[uint32]galenalatch.CrashState), newest: now}
+	l.suspects[key] = s
+	return s
+}
+
+// evict removes the oldest suspect that is not held.
+func (l *List) evict() bool {
+	var oldest *suspect
+	var oldestKey uint64
+	for key, s := range l.suspects {
+		if !s.held && (oldest == nil || s.newest.Before(oldest.newest)) {
+			oldest, oldestKey = s, key
+		}
+	}
+	delete(l.suspects, oldestKey)
+	return oldest != nil
+}
+
+// report calls Held or Released when the state of a part has changed.
+func (l *List) report(key uint64, s *suspect) {
+	held := l.points(s) >= holdPoints
+	if held == s.held {
+		return
+	}
+	s.held = held
+	if held {
+		l.Held(key, s.name, s.open())
+		return
+	}
+	l.Released(key, s.name)
+}
--- /dev/null
+++ b/internal/decide/quarantine/suspect.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/galenalatch/galenalatch"
+)
+
+// suspect is a prompt part with the crashes that it may have caused.
+type suspect struct {
+	// name is the id of the part, if this router has seen a request with it.
+	name string
+	// crashes holds the state of each crash by the key of the process that ended.
+	crashes map[uint32]galenalatch.CrashState
+	// newest is when the newest crash or trial was seen.
+	newest time.Time
+	trials int
+	held   bool
+	// changed is set until the other routers have been told.
+	changed bool
+}
+
+// advance sets the state of a crash unless it is as far already. It reports whether
+// it has changed. A suspect with maxCrashes crashes takes no more.
+func (s *suspect) advance(crash uint32, state galenalatch.CrashState) bool {
+	old, ok := s.crashes[crash]
+	if state <= old || !ok && len(s.crashes) >= maxCrashes {
+		return false
+	}
+	s.crashes[crash] = state
+	return true
+}
+
+// clear clears all crashes. It reports whether there were any.
+func (s *suspect) clear() bool {
+	changed := false
+	for crash, state := range s.crashes {
+		if state != galenalatch.CrashCleared {
+			s.crashes[crash] = galenalatch.CrashCleared
+			changed = true
+		}
+	}
+	return changed
+}
+
+// open returns the number of crashes that are not cleared.
+func (s *suspect) open() int {
+	n := 0
+	for _, state := range s.crashes {
+		if state != galenalatch.CrashCleared {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *suspect) cleared() bool {
+	return s.open() == 0
+}
+
+// trialDue reports whether it is time to let a request with a held part through.
+func (s *suspect) trialDue(now time.Time) bool {
+	return s.trials < maxTrials && now.Sub(s.newest) >= firstTrial<<s.trials
+}
--- a/internal/peer/load/syncer.go
+++ b/internal/peer/load/syncer.go
@@ -1,5 +1,6 @@
 // Package load sends the load of this router, which is its running requests and
-// the tokens of workspaces, to the other routers and receives theirs. It uses one
+// the tokens of workspaces, and its evidence against prompt parts to the other
+// routers and receives theirs. It uses one
 // WebSocket for each pair of routers that the topology connects. In a large fleet
 // relays exchange the sums of their data centres.
 package load
@@ -14,6 +15,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
@@ -43,6 +45,7 @@
 	DataCentre galenalatch.DataCentre
 	Table      *placement.Table
 	Ledger     *share.Ledger
+	Quarantine *quarantine.List
 	// StoreAnswered is called with each answer of the store that another
 	// router forwards.
 	StoreAnswered func(galenalatch.StoreAnswer)
@@ -97,7 +100,7 @@
 		m, err := link.New(link.Options{
 			Self: s.Self, Start: s.Start, DataCentre: s.DataCentre, Token: token,
 			Handle:          s.receive,
-			Connected:       func(r galenalatch.RouterID, _ string) { s.recordContact(r); s.Connected(r) },
+			Connected:       func(r galenalatch.RouterID, _ string) { s.recordContact(r); s.Quarantine.ResendAll(); s.Connected(r) },
 			ConnectionError: s.Disconnected,
 		})
 		if err != nil {
@@ -194,6 +197,17 @@
 	return t.message()
 }
 
+// sendSuspects sends new evidence against prompt parts. Relays pass it on between
+// data centres.
+func (s *Syncer) sendSuspects(now time.Time, mesh *link.Mesh, t topology.Topology) {
+	m := s.Quarantine.Changes(now)
+	if len(m.Parts) == 0 {
+		return
+	}
+	mesh.Broadcast(t.Peers, m)
+	mesh.Broadcast(t.RemoteRelays(), m)
+}
+
 func (s *Syncer) send(now time.Time) {
 	local := s.localLoad(now)
 	s.mu.Lock()
@@ -205,6 +219,7 @@
 		remote = s.received.sumOfOthers(now, t)
 	}
 	s.mu.Unlock()
+	s.sendSuspects(now, mesh, t)
 	if s.localFilter.shouldSend(now, local) {
 		mesh.Broadcast(t.Peers, local)
 	}
@@ -256,6 +271,11 @@
 	switch m := m.(type) {
 	case galenalatch.StoreAnswer:
 		s.StoreAnswered(m)
+	case galenalatch.PromptSuspects:
+		s.mu.Lock()
+		relaying := s.topology.Relaying()
+		s.mu.Unlock()
+		s.Quarantine.Merge(now, m, relaying)
 	case galenalatch.RouterLoad:
 		s.mu.Lock()
 		// A router that does not have the whole list yet may send its load to
--- a/internal/peer/load/syncer_test.go
+++ b/internal/peer/load/syncer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 )
@@ -24,17 +25,20 @@
 // peer is a router with its syncer.
 type peer struct {
 	*Syncer
-	ledger   *share.Ledger
-	answered chan galenalatch.StoreAnswer
-	address  string
-	stop     func()
+	ledger     *share.Ledger
+	quarantine *quarantine.List
+	answered   chan galenalatch.StoreAnswer
+	address    string
+	stop       func()
 }
 
 func newPeer(t *testing.T, id galenalatch.RouterID, d galenalatch.DataCentre) *peer {
 	t.Helper()
-	p := &peer{ledger: share.New(window), answered: make(chan galenalatch.StoreAnswer, 10)}
+	p := &peer{quarantine: quarantine.New(quarantine.Options{
+		Owner: func(uint64) bool { return false }, Held: func(uint64, string, int) {}, Released: func(uint64, string) {},
+	}), ledger: share.New(window), answered: make(chan galenalatch.StoreAnswer, 10)}
 	p.Syncer = New(Options{
-		Self: id, Start: string(id) + "-1", DataCentre: d, Ledger: p.ledger,
+		Self: id, Start: string(id) + "-1", DataCentre: d, Ledger: p.ledger, Quarantine: p.quarantine,
 		Table:         placement.New(placement.Options{Self: id, Local: d, PrefillRate: 50}),
 		StoreAnswered: func(a galenalatch.StoreAnswer) { p.answered <- a },
 		Connected:     func(galenalatch.RouterID) {},
@@ -178,3 +182,39 @@
 	silent, _ = p.Silent(start.Add(2*limit+time.Second), limit)
 	assert.Equal(t, len(silent), 0)
 }
+
+// Guards, in a fleet with relays, against evidence on prompt parts that does not
+// reach the routers of other data centres, or a router that connects later.
+func TestSuspectsInLargeFleet(t *testing.T) {
+	const routers = topology.MaxFullMesh + 2
+	var peers []*peer
+	var list []galenalatch.Instance
+	for i := range routers {
+		d := galenalatch.DataCentre("ab"[i%2 : i%2+1])
+		p := newPeer(t, galenalatch.RouterID(fmt.Sprint("r", i)), d)
+		peers = append(peers, p)
+		list = append(list, galenalatch.Instance{ID: string(p.Self), Role: galenalatch.RouterRole, Address: p.address, DataCentre: d})
+	}
+	deadly := []galenalatch.PromptPart{{ID: "deadly"}}
+	held := func(p *peer) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			if _, ok := p.quarantine.Check(time.Now(), "", deadly); !ok {
+				return poll.Continue("%s does not hold the part", p.Self)
+			}
+			return poll.Success()
+		}
+	}
+	// The last router knows its peers only later.
+	for _, p := range peers[:routers-1] {
+		assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
+	}
+	for i, p := range peers[:2] {
+		p.quarantine.RecordCrash(time.Now(), quarantine.Crash{Server: galenalatch.ServerID(fmt.Sprint("s", i)), Parts: deadly, Begun: true})
+	}
+	for _, p := range peers[:routers-1] {
+		poll.WaitOn(t, held(p), poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+	}
+	late := peers[routers-1]
+	assert.NilError(t, late.SetPeers(list, topology.New(late.Self, late.DataCentre, list), "token-of-the-fleet"))
+	poll.WaitOn(t, held(late), poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+}
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -184,7 +184,7 @@
 	decoderOf[galenalatch.LeaseRequest], decoderOf[galenalatch.LeaseState], decoderOf[galenalatch.Summary], decoderOf[galenalatch.Lend],
 	decoderOf[galenalatch.GiveBack], decoderOf[galenalatch.Handover], decoderOf[galenalatch.RouterLoad],
 	decoderOf[galenalatch.DataCentreLoad], decoderOf[galenalatch.RemoteLoad],
-	decoderOf[galenalatch.StoreAnswer],
+	decoderOf[galenalatch.StoreAnswer], decoderOf[galenalatch.PromptSuspects],
 )
 
 func newDecoders(entries ...func() (string, decoder)) map[string]decoder {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/overload"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
+	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
 	"github.com/galenalatch/galenalatch/internal/fleet/members"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
@@ -99,11 +100,14 @@
 	handler       *host.Handler
 	ingress       *ingress.Server
 	ledger        *share.Ledger
+	quarantine    *quarantine.List
 	policy        admission.Policy
 	relay         *relay.Store
 	members       *members.List
 	peers         *load.Syncer
 	routers       atomic.Int64
+	// routerIDs is the list of routers, sorted.
+	routerIDs atomic.Pointer[[]string]
 	// lastSilenceCheck is the time of the last check for silent routers. Only
 	// loop uses it.
 	lastSilenceCheck time.Time
@@ -141,6 +145,7 @@
 		Self: s.ID, Local: s.DataCentre, PrefillRate: s.Engine.ReadRate, FirstToken: s.Engine.FirstToken.Std(),
 		ColdRateFactor: s.Cold.Over, ColdSlack: s.Cold.Slack,
 	})
+	g.quarantine = quarantine.New(quarantine.Options{Owner: g.ownsPart, Held: obs.partHeld, Released: obs.partReleased})
 	g.relay = relay.New(relay.Options{
 		Store: platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext),
 		Send:  func(a galenalatch.StoreAnswer) { g.peers.ForwardStoreAnswer(a) },
@@ -162,6 +167,7 @@
 		FixedRetries: g.fixedRetries,
 		Admit:        g.admit,
 		Ledger:       g.ledger,
+		Quarantine:   g.quarantine,
 	})
 	g.ingress = &ingress.Server{
 		MaxConnections: int(descriptorShare * float64(s.Descriptors)),
@@ -276,6 +282,7 @@
 				g.logChangedCalibrations(c)
 			}
 			g.table.Expire(now)
+			g.quarantine.Expire(now)
 			g.client.Expire(now, func(s galenalatch.ServerID) bool { return g.table.Usable(now, s) })
 			g.removeSilent(ctx, now)
 		}
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// partHeld logs that requests with a prompt part are held back.
+func (o observer) partHeld(key uint64, name string, crashes int) {
+	o.log.Event(events.PartHeld, "part", name, "key", strconv.FormatUint(key, 16), "crashes", crashes)
+	o.metrics.heldParts.Inc()
+}
+
+// partReleased logs that requests with a prompt part are sent again.
+func (o observer) partReleased(key uint64, name string) {
+	o.log.Event(events.PartReleased, "part", name, "key", strconv.FormatUint(key, 16))
+	o.metrics.heldParts.Dec()
+}
+
 // Refused implements host.Events.
 func (o observer) Refused(r galenalatch.RequestID, d host.Decision, err error) {
 	o.log.Event(events.GatewayRefused, "request", r, "route", d.Route, "workspace", d.Workspace, "cost", d.Tokens, "configuration", d.Configuration,
--- a/internal/process/gateway/routers.go
+++ b/internal/process/gateway/routers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/rendezvous"
 	"github.com/galenalatch/galenalatch/internal/fleet/members"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
@@ -23,7 +26,7 @@
 func (g *Gateway) initPeers(obs observer) {
 	start := string(galenalatch.NewRequestID())
 	g.peers = load.New(load.Options{
-		Self: g.settings.ID, Start: start, DataCentre: g.settings.DataCentre, Table: g.table, Ledger: g.ledger,
+		Self: g.settings.ID, Start: start, DataCentre: g.settings.DataCentre, Table: g.table, Ledger: g.ledger, Quarantine: g.quarantine,
 		StoreAnswered: g.relay.Deliver,
 		Connected:     func(r galenalatch.RouterID) { g.log.Event(events.PeerConnected, "peer", r) },
 		Disconnected:  func(r galenalatch.RouterID, err error) { g.log.Event(events.PeerLost, "peer", r, "error", err) },
@@ -52,12 +55,34 @@
 	g.table.SetRouters(ids)
 	g.relay.SetMode(relayMode(t))
 	g.routers.Store(int64(len(ids)))
+	g.storeRouterIDs(ids)
 	if err := g.peers.SetPeers(instances, t, token); err != nil {
 		g.log.Event(events.PeerRejected, "error", err)
 	}
 	g.log.Event(events.MembersChanged, "routers", len(ids), "near", len(t.Peers), "far", len(t.RemoteRelays()))
 }
 
+// storeRouterIDs keeps the list of routers for ownsPart.
+func (g *Gateway) storeRouterIDs(ids []galenalatch.RouterID) {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	slices.Sort(names)
+	g.routerIDs.Store(&names)
+}
+
+// ownsPart reports whether this router, of all in the list, tries whether a held
+// prompt part has become sound.
+func (g *Gateway) ownsPart(part uint64) bool {
+	names := g.routerIDs.Load()
+	if names == nil || len(*names) == 0 {
+		return false
+	}
+	ranked := rendezvous.Hash{Seed: "promptPart"}.Rank(strconv.FormatUint(part, 16), *names)
+	return ranked[0] == string(g.settings.ID)
+}
+
 // relayMode returns how the router follows the store: on its own in a small fleet,
 // as a relay, or through the relays of its data centre.
 func relayMode(t topology.Topology) relay.Mode {
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -59,6 +59,8 @@
 	AttemptEnded           Number = 8002
 	GatewayRefused         Number = 8003
 	GatewayAnswered        Number = 8004
+	PartHeld               Number = 8005
+	PartReleased           Number = 8006
 	ConfigurationApplied   Number = 8101
 	DataCentreOutOfService Number = 8102
 	DataCentreReturned     Number = 8103
@@ -209,6 +211,11 @@
 		"See `OPERATIONS.md`."},
 	GatewayAnswered: {log.InfoLevel, "request answered",
 		"The final answer of a request that was sent to a backend server. A status of 502, 504 or 0 (connection closed) means that the outcome is unknown.", none},
+	PartHeld: {log.WarnLevel, "prompt part held",
+		"Servers ended when they began an answer on this prompt part, or the parts that come with it, and on no other part that explains it. Requests with it are refused with `promptHeld`. `crashes` is the number of servers in the fleet; `part` is empty on a router that has had no request with it, and `key` is the same on all routers.",
+		"Find the caller by 8003 with the same part. The part is tried again by one request after 5 and 10 minutes."},
+	PartReleased: {log.InfoLevel, "prompt part released",
+		"A request with the prompt part had the first event of its answer. Requests with it are sent again.", none},
 	ConfigurationApplied: {log.InfoLevel, "configuration applied",
 		"A newer version of the configuration replaced the previous one.", none},
 	DataCentreOutOfService: {log.InfoLevel, "data centre out", "Operators took a data centre out of service. Its backend servers get no new requests.", none},
--- a/kind.go
+++ b/kind.go
@@ -34,6 +34,8 @@
 	// KindQueueFull means that the queue of the workspace is full, or there is
 	// no capacity for the request.
 	KindQueueFull Kind = "queueFull"
+	// KindPromptHeld means that the prompt has a part that ends backend servers.
+	KindPromptHeld Kind = "promptHeld"
 	// KindWaitTimeout means that the request waited for too long.
 	KindWaitTimeout Kind = "waitTimeout"
 	// KindOutOfService means that no server that is in service can take the
@@ -98,6 +100,7 @@
 	KindKeyReused:         {http.StatusUnprocessableEntity, NotRun, 0},
 	KindInProgress:        {http.StatusConflict, OutcomeUnknown, 2 * time.Second},
 	KindQueueFull:         {http.StatusTooManyRequests, NotRun, 2 * time.Second},
+	KindPromptHeld:        {http.StatusServiceUnavailable, NotRun, 0},
 	KindWaitTimeout:       {http.StatusServiceUnavailable, NotRun, 5 * time.Second},
 	KindOutOfService:      {http.StatusServiceUnavailable, NotRun, 5 * time.Second},
 	KindCatalogueStale:    {http.StatusServiceUnavailable, NotRun, time.Second},
--- a/message.go
+++ b/message.go
@@ -401,6 +401,50 @@
 	Load RouterLoad `cbor:"u"`
 }
 
+// CrashState tells how far the request with a prompt part was when its server ended.
+// It only advances.
+type CrashState uint8
+
+// The states of a crash for a prompt part.
+const (
+	// CrashWaiting means that the request waited for its answer.
+	CrashWaiting CrashState = iota + 1
+	// CrashBegun means that the head of the answer was received and no event.
+	CrashBegun
+	// CrashCleared means that a request with the part had its first event after
+	// the crash, so that the part did not cause it.
+	CrashCleared
+)
+
+// PartCrash is the end of a server that a prompt part may have caused.
+type PartCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id and start.
+	Server uint32
+	State  CrashState
+}
+
+// SuspectPart is a prompt part with the crashes that it may have caused.
+type SuspectPart struct {
+	_ struct{} `cbor:",toarray"`
+	// Part is a hash of the model and the id of the part.
+	Part uint64
+	// AgeSeconds is the time since the newest crash or trial in seconds, Trials
+	// the number of requests that were let through although the part was held.
+	AgeSeconds uint32
+	Trials     uint8
+	Crashes    []PartCrash
+}
+
+// Age returns the time since the newest crash or trial.
+func (p SuspectPart) Age() time.Duration { return time.Duration(p.AgeSeconds) * time.Second }
+
+// PromptSuspects tells which prompt parts may end backend servers. A message adds
+// to what the receiver knows.
+type PromptSuspects struct {
+	Parts []SuspectPart `cbor:"p"`
+}
+
 // StoreAnswer is an answer of one of the store's feeds that a relay router
 // forwards to the routers of its data centre. It holds the changes from After
 // to Version. An answer without changes proves that there were none.
@@ -500,5 +544,8 @@
 // MessageType implements Message.
 func (RemoteLoad) MessageType() string { return "elsewhereUse" }
 
+// MessageType implements Message.
+func (PromptSuspects) MessageType() string { return "promptSuspects" }
+
 // MessageType implements Message.
 func (StoreAnswer) MessageType() string { return "storeAnswer" }
