Log the limits that backend servers name

The header with a server's limit was read nowhere, so that the logs of LIMIT could not tell whether routers had been told. The head of an answer now holds it, event 8007 and galenalatch_gateway_limit_changes_total show each change, and event 8008 a value that is no decimal number, which counts as none. The table keeps the limit; nothing decides by it yet.

--- a/headers.go
+++ b/headers.go
@@ -63,6 +63,12 @@
 	// KeepAlive is the time for which the server keeps an idle connection
 	// open; 0 when it sent none.
 	KeepAlive time.Duration
+	// Limited is set when the server named a limit, and Limit is the number of
+	// requests per second that it takes from all routers together. InvalidLimit is
+	// a value that cannot be used.
+	Limited      bool
+	Limit        float64
+	InvalidLimit string
 }
 
 // Headers translates between the platform's HTTP headers and the types of this
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -87,6 +87,12 @@
 func (r *recorder) Refused(id galenalatch.RequestID, _ Decision, err error) {
 	r.add("refused %s: %v", id, err)
 }
+func (r *recorder) LimitChanged(s galenalatch.ServerID, named bool, rate float64) {
+	r.add("limit %s %t %g", s, named, rate)
+}
+func (r *recorder) LimitInvalid(s galenalatch.ServerID, value string) {
+	r.add("invalid limit %s %s", s, value)
+}
 func (r *recorder) Ended(id galenalatch.RequestID, _ Decision, status int, err error) {
 	r.add("ended %s %d", id, status)
 }
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -84,11 +84,16 @@
 // received. Refused is called when a request is refused; it has not run. Ended is
 // called when any other request ends, with the final status, or 0 if the
 // connection of the caller was closed.
+//
+// LimitChanged is called when a server names another limit than before, or none any
+// more, and LimitInvalid when it names a value that cannot be used.
 type Events interface {
 	Placed(r galenalatch.RequestID, d Decision)
 	Attempted(r galenalatch.RequestID, d Decision, status int, err error)
 	Refused(r galenalatch.RequestID, d Decision, err error)
 	Ended(r galenalatch.RequestID, d Decision, status int, err error)
+	LimitChanged(s galenalatch.ServerID, named bool, rate float64)
+	LimitInvalid(s galenalatch.ServerID, value string)
 }
 
 // Decision holds the state on which the decisions about a request are based.
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -218,6 +218,7 @@
 		t.mayHaveRun = true
 		return nil, err
 	}
+	t.recordLimit(p, a.Head)
 	if !a.Head.NotRun {
 		t.mayHaveRun, t.begun = true, true
 	}
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -59,6 +59,7 @@
 	failureRate    float64
 	backoff        time.Duration
 	pausedUntil    time.Time
+	limit          limit
 }
 
 func newServer(r galenalatch.Registration) *server {
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -24,9 +24,11 @@
 	attempts  *prometheus.CounterVec
 	// interruptions counts requests without a first event whose server ended.
 	interruptions *prometheus.CounterVec
-	heldParts     prometheus.Gauge
-	firstByte     *prometheus.HistogramVec
-	dials         prometheus.Counter
+	// limitChanges counts changes of the limits that servers name.
+	limitChanges prometheus.Counter
+	heldParts    prometheus.Gauge
+	firstByte    *prometheus.HistogramVec
+	dials        prometheus.Counter
 }
 
 // counters are the values that other parts of the gateway count.
@@ -41,6 +43,7 @@
 		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_refusals_total", Help: "Requests that were not run, by kind."}, []string{"kind"}),
 		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_attempts_total", Help: "Attempts at backend servers by result."}, []string{"result"}),
 		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_interruptions_total", Help: "Requests with a prompt whose server ended before their first event, by whether the answer had begun."}, []string{"begun"}),
+		limitChanges:  prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_limit_changes_total", Help: "Changes of the limits that backend servers name in their answers."}),
 		heldParts:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "galenalatch_gateway_held_parts", Help: "Prompt parts that are held back because servers ended on them."}),
 		firstByte:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galenalatch_gateway_first_piece_seconds", Help: "Time from the arrival of a request to the first piece of its answer, by service.", Buckets: firstByteBuckets}, []string{"service"}),
 		dials:         prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_dials_total", Help: "New connections to backend servers."}),
@@ -51,7 +54,7 @@
 		func() float64 { return float64(o.routers()) })
 	shed := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_gateway_shed_connections_total", Help: "New connections that were closed without reading a request because the processor was overloaded."},
 		func() float64 { return float64(o.shedConnections()) })
-	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.heldParts, c.firstByte, c.dials, lines, listed, shed,
+	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.limitChanges, c.heldParts, c.firstByte, c.dials, lines, listed, shed,
 		collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return c
 }
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -122,6 +122,17 @@
 	return strings.Join(ids, ",")
 }
 
+// LimitChanged implements host.Events.
+func (o observer) LimitChanged(s galenalatch.ServerID, named bool, rate float64) {
+	o.log.Event(events.LimitChanged, "server", s, "named", named, "rate", rate)
+	o.metrics.limitChanges.Inc()
+}
+
+// LimitInvalid implements host.Events.
+func (o observer) LimitInvalid(s galenalatch.ServerID, value string) {
+	o.log.Event(events.LimitInvalid, "server", s, "value", value)
+}
+
 // roundToMillis shortens a duration for a log line.
 func roundToMillis(d time.Duration) time.Duration {
 	return d.Round(time.Millisecond)
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -76,11 +76,13 @@
 	Expected string
 	// Prompt is the header that lists the parts of the prompt.
 	Prompt string
+	// Limit is the header with the limit that a server names.
+	Limit string
 }
 
 // DefaultHeaderNames holds the header names of package headers.
 var DefaultHeaderNames = HeaderNames{
-	Request: headers.Request, LastEvent: headers.LastEvent, Seal: headers.Seal, NotRun: headers.NotRun, Expected: headers.Server, Prompt: headers.Prompt,
+	Request: headers.Request, LastEvent: headers.LastEvent, Seal: headers.Seal, NotRun: headers.NotRun, Expected: headers.Server, Prompt: headers.Prompt, Limit: headers.Limit,
 }
 
 // Server is one backend server on a loopback address.
@@ -101,9 +103,11 @@
 	runLog      []Run
 	// crashPart is the prompt part on which the server ends; empty if there is
 	// none. ended is set once it has.
-	crashPart   string
-	ended       bool
-	open        map[net.Conn]struct{}
+	crashPart string
+	ended     bool
+	open      map[net.Conn]struct{}
+	// limit is the value of the limit that the server names, if any.
+	limit       string
 	connections int
 	received    int
 }
@@ -158,6 +162,13 @@
 	s.crashPart = part
 }
 
+// SetLimit makes the server name a limit in its answers. An empty one names none.
+func (s *Server) SetLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
 // Ended reports whether the server has ended by a prompt part.
 func (s *Server) Ended() bool {
 	s.mu.Lock()
@@ -269,6 +280,7 @@
 		behaviour = misdirected
 	}
 	s.received++
+	limit := s.limit
 	if behaviour != RejectNotRun && behaviour != EndlessRejection && behaviour != misdirected {
 		s.runs[id]++
 		s.runLog = append(s.runLog, Run{ID: id, Path: r.URL.Path, At: time.Now()})
@@ -276,6 +288,9 @@
 	}
 	s.mu.Unlock()
 	header := fmt.Sprintf("%s: %s\r\n%s: seal-of-%s\r\n", s.headerNames.Request, id, s.headerNames.Seal, s.ID)
+	if limit != "" {
+		header += s.headerNames.Limit + ": " + limit + "\r\n"
+	}
 	responseBody := "served by " + string(s.ID) + " for " + id + "\n"
 	response := func(status string, header, responseBody string) string {
 		return "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: " + strconv.Itoa(len(responseBody)) + "\r\n\r\n" + responseBody
--- a/internal/standin/headers/headers.go
+++ b/internal/standin/headers/headers.go
@@ -34,6 +34,9 @@
 	Seal = "Galenalatch-Seal"
 	// NotRun is set in responses of a server that did not run the request.
 	NotRun = "Galenalatch-Not-Run"
+	// Limit is the number of requests per second that the server takes from all
+	// routers together.
+	Limit = "Galenalatch-Limit"
 	// Return is the time after which a refused caller may retry, in the
 	// format of time.Duration.
 	Return = "Galenalatch-Return"
@@ -82,7 +85,9 @@
 
 // Response implements galenalatch.Headers.
 func (Headers) Response(status int, h http.Header) galenalatch.ResponseHead {
+	limit, err := strconv.ParseFloat(h.Get(Limit), 64)
 	return galenalatch.ResponseHead{
+		Limit: limit, Limited: err == nil,
 		ID: galenalatch.RequestID(h.Get(Request)), Sealed: h.Get(Seal) != "", NotRun: h.Get(NotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
 	}
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -61,6 +61,8 @@
 	GatewayAnswered        Number = 8004
 	PartHeld               Number = 8005
 	PartReleased           Number = 8006
+	LimitChanged           Number = 8007
+	LimitInvalid           Number = 8008
 	ConfigurationApplied   Number = 8101
 	DataCentreOutOfService Number = 8102
 	DataCentreReturned     Number = 8103
@@ -216,6 +218,11 @@
 		"Find the caller by 8003 with the same part. The part is tried again by one request after 5 and 10 minutes."},
 	PartReleased: {log.InfoLevel, "prompt part released",
 		"A request with the prompt part had the first event of its answer. Requests with it are sent again.", none},
+	LimitChanged: {log.InfoLevel, "server limit changed",
+		"An answer of a backend server named another limit than before (`rate`, in requests per second from all routers together), or none any more.",
+		"When many servers name limits for long, the service needs more servers."},
+	LimitInvalid: {log.WarnLevel, "server limit invalid", "A backend server named a limit that is no decimal number. It counts as no limit.",
+		"Tell the owner of the service."},
 	ConfigurationApplied: {log.InfoLevel, "configuration applied",
 		"A newer version of the configuration replaced the previous one.", none},
 	DataCentreOutOfService: {log.InfoLevel, "data centre out", "Operators took a data centre out of service. Its backend servers get no new requests.", none},
