--- a/internal/decide/quarantine/list.go
+++ b/internal/decide/quarantine/list.go
@@ -135,19 +135,6 @@
 	}
 }
 
-// Release clears a part on the order of an operator. It reports false if the part
-// is not in the list.
-func (l *List) Release(part uint64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s, ok := l.suspects[part]
-	if ok && s.clear() {
-		s.changed = true
-		l.report(part, s)
-	}
-	return ok
-}
-
 // Expire removes suspects that are neither held nor new.
 func (l *List) Expire(now time.Time) {
 	l.mu.Lock()
