Do not take the end of a server for the end of a body

A body with neither a length nor chunks ends with its connection. When its server ended between two events, or inside another body, the kernel closed the connection in order and callers got the part as a whole answer.

At such an end the router now opens a connection to the server, which it pools: if nothing listens there and no end was planned, the body counts as broken off. The stream is then resumed, or the request retried, or its caller told.

TestStreams has two new cases that failed before: a resumable stream with one of three events, and half a body with status 200.

--- a/internal/caller/host/handler_test.go
+++ b/internal/caller/host/handler_test.go
@@ -181,6 +181,23 @@
 		a := f.call(t.Context(), "POST", "/stream/once/1", "r-1", "")
 		assert.Assert(t, a.err != nil, "a broken stream must not look complete: %q", a.body)
 	})
+	t.Run("server ends after an event without framing", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.servers[0].SetBehaviour(backend.EndUnframed)
+		for i := range 3 {
+			a := f.call(t.Context(), "POST", "/stream/1", fmt.Sprint("r-", i), "")
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.body, all)
+		}
+		assert.Assert(t, f.servers[0].Ended())
+	})
+	t.Run("server ends inside a body without framing", func(t *testing.T) {
+		f := newFixture(t, configuration())
+		f.set(backend.EndUnframed)
+		a := f.call(t.Context(), "POST", "/log/1", "r-1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusBadGateway)
+	})
 	t.Run("resumed response without seal", func(t *testing.T) {
 		f := newFixture(t, configuration())
 		f.servers[0].SetBehaviour(backend.TruncateStream)
--- a/internal/caller/host/response.go
+++ b/internal/caller/host/response.go
@@ -73,6 +73,17 @@
 	return &responseError{status: a.Status, notRun: true, misdirected: a.Head.Misdirected}
 }
 
+var errServerEnded = errors.New("the backend server ended with a body of unknown length")
+
+// checkEnd returns an error if a body that ends with its connection may have been
+// cut off because its server has ended.
+func (t *transaction) checkEnd(ctx context.Context, a *exchange.Response, p *placement.Reservation) error {
+	if a.CloseDelimited() && t.serverEnded(ctx, p) {
+		return errServerEnded
+	}
+	return nil
+}
+
 var errUnsealed = errors.New("the response does not come from the service")
 
 // forwardBuffered reads the whole response before it sends it to the caller. A
@@ -84,6 +95,9 @@
 		return errUnsealed
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
+	if err == nil && len(body) < maxBufferedBody {
+		err = t.checkEnd(ctx, a, p)
+	}
 	if err != nil {
 		a.Abort()
 		return errors.Join(context.Cause(ctx), fmt.Errorf("read the response body: %w", err))
@@ -91,7 +105,7 @@
 	t.h.Table.RecordFirstToken(time.Now(), p)
 	t.decision.FirstByte = time.Since(t.arrival)
 	if len(body) == maxBufferedBody {
-		return t.forwardUnbuffered(a, body)
+		return t.forwardUnbuffered(ctx, a, p, body)
 	}
 	a.Close()
 	b := &bufferedResponse{status: a.Status, header: t.h.Headers.ForwardResponse(a.Header), body: body}
@@ -109,12 +123,15 @@
 
 // forwardUnbuffered forwards a response that is too long to buffer. No other
 // attempt can replace it once its head was sent.
-func (t *transaction) forwardUnbuffered(a *exchange.Response, body []byte) error {
+func (t *transaction) forwardUnbuffered(ctx context.Context, a *exchange.Response, p *placement.Reservation, body []byte) error {
 	t.sendHead(a, a.Length)
 	_, err := t.w.Write(body)
 	if err == nil {
 		err = t.copyRest(a)
 	}
+	if err == nil {
+		err = t.checkEnd(ctx, a, p)
+	}
 	if err != nil {
 		a.Abort()
 		return fmt.Errorf("forward the response body: %w", err)
--- a/internal/caller/host/stream.go
+++ b/internal/caller/host/stream.go
@@ -45,7 +45,11 @@
 	}
 	t.h.openStreams.Add(1)
 	defer t.h.openStreams.Add(-1)
-	if err := t.copyEvents(ctx, a, p, flush); err != nil {
+	err := t.copyEvents(ctx, a, p, flush)
+	if err == nil {
+		err = t.checkEnd(ctx, a, p)
+	}
+	if err != nil {
 		a.Abort()
 		return err
 	}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -43,6 +43,9 @@
 	// TruncateUnframed is Unframed with a stream that ends inside its second
 	// event. Resumed streams and other responses are sent as with Answer.
 	TruncateUnframed Behaviour = "torn unframed"
+	// EndUnframed is Unframed with a server that ends after the first event, or
+	// inside another body.
+	EndUnframed Behaviour = "ends unframed"
 	// WrongRequestFirst runs the request and sends a response to another request
 	// before the right one. Streams are sent as with Answer.
 	WrongRequestFirst Behaviour = "foreign"
@@ -332,6 +335,12 @@
 		return s.writeEndless(c, "HTTP/1.1 200 OK\r\n"+s.headerNames.Request+": "+id+"\r\n\r\n", endlessPiece, 0)
 	case EndlessRejection:
 		return s.writeEndless(c, "HTTP/1.1 503 Service Unavailable\r\n"+s.headerNames.Request+": "+id+"\r\n"+s.headerNames.NotRun+": 1\r\n\r\n", "x", 5*time.Millisecond)
+	case EndUnframed:
+		if !streaming {
+			s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Connection: close\r\n\r\n"+responseBody[:len(responseBody)/2])
+			s.crash()
+			return false
+		}
 	case Unsealed:
 		return s.write(c, response("200 OK", s.headerNames.Request+": "+id+"\r\n", responseBody))
 	}
@@ -339,7 +348,8 @@
 		resumed := r.Header.Get(s.headerNames.LastEvent) != ""
 		return s.stream(c, r, header, streamFaults{
 			truncate: (behaviour == TruncateStream || behaviour == TruncateUnframed) && !resumed,
-			unframed: behaviour == Unframed || behaviour == TruncateUnframed && !resumed,
+			unframed: behaviour == Unframed || behaviour == TruncateUnframed && !resumed || behaviour == EndUnframed,
+			end:      behaviour == EndUnframed,
 		})
 	}
 	return s.write(c, response("200 OK", header, responseBody))
@@ -366,6 +376,8 @@
 // second event, unframed sends neither a length nor chunks.
 type streamFaults struct {
 	truncate, unframed bool
+	// end ends the server after the first event.
+	end bool
 }
 
 // stream sends the events after the last one that the caller has received.
@@ -391,6 +403,10 @@
 		if !s.write(c, piece(event)) || f.truncate && i == lastEvent+2 {
 			return false
 		}
+		if f.end {
+			s.crash()
+			return false
+		}
 		time.Sleep(s.Gap)
 	}
 	return !f.unframed && s.write(c, "0\r\n\r\n")
