Check limits that change every second while routers are cut off

The simulation holds the sum to what the lower of two limits allows, with any number of the eight routers without reports of the others.

--- a/internal/decide/placement/limit_test.go
+++ b/internal/decide/placement/limit_test.go
@@ -14,8 +14,10 @@
 // limitedFleet is a simulation of routers that send to one server with a limit and
 // one without. Routers tell each other what they know with a delay.
 type limitedFleet struct {
-	tables  []*Table
-	delay   time.Duration
+	tables []*Table
+	delay  time.Duration
+	// cut is the number of routers that get no reports.
+	cut     int
 	reports []delayedReport
 	// arrivals are the times of requests at the limited server.
 	arrivals []time.Time
@@ -52,7 +54,7 @@
 // exchange delivers what is due and sends what the routers know.
 func (f *limitedFleet) exchange(now time.Time) {
 	for len(f.reports) > 0 && !now.Before(f.reports[0].due) {
-		for _, t := range f.tables {
+		for _, t := range f.tables[f.cut:] {
 			t.SetRemoteLimits(now, f.reports[0].limits)
 		}
 		f.reports = f.reports[1:]
@@ -140,6 +142,31 @@
 	}
 }
 
+// Guards against more requests than a limit allows that changes every second, while
+// some routers are cut off from the others.
+func TestChangingLimitWithCutRouters(t *testing.T) {
+	const (
+		tick    = 20 * time.Millisecond
+		contact = 3 * time.Second
+		window  = 4 * time.Second
+	)
+	rates := []float64{1.7, 4.2}
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		const routers = 8
+		f := newLimitedFleet(routers, 0, 200*time.Millisecond)
+		f.cut = random.IntN(routers)
+		for now := start; now.Sub(start) < 30*time.Second; now = now.Add(tick) {
+			f.exchange(now)
+			rate := rates[int(now.Sub(start)/time.Second)%len(rates)]
+			f.request(now, f.tables[random.IntN(routers)], true, rate)
+		}
+		allowed := 1.5*rates[0]*window.Seconds() + 5
+		most := f.most(start.Add(contact), window)
+		assert.Assert(t, float64(most) <= allowed, "seed %d, %d cut: %d requests in 4 s, allowed %.1f", seed, f.cut, most, allowed)
+	}
+}
+
 // Guards against a limit of an earlier process with the same id, also when it comes in
 // a report of another router, and against one that is forgotten by a restart.
 func TestLimitOfProcess(t *testing.T) {
