Return the permits of cold servers for requests that were not sent

A request that is chosen for a cold server counts against the router's part of the bound. Where it was then refused for its share, or its caller had left, the permit was lost, and the server got less than it takes.

A request that was not sent no longer counts. TestUnsentRequestsToColdServer failed before after three such requests.

--- a/internal/decide/placement/result.go
+++ b/internal/decide/placement/result.go
@@ -94,6 +94,7 @@
 		s.backOff(now)
 	case Unsent:
 		t.returnLimited(p)
+		s.forgetSend(p.sent)
 	case Unreachable:
 		s.backOff(now)
 	case Shed:
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,6 +101,13 @@
 	return len(s.recentSends)
 }
 
+// forgetSend removes a request that was not sent from the recent ones.
+func (s *server) forgetSend(at time.Time) {
+	if i := slices.IndexFunc(s.recentSends, at.Equal); i >= 0 {
+		s.recentSends = slices.Delete(s.recentSends, i, i+1)
+	}
+}
+
 // cached returns the number of tokens at the start of the prompt that the
 // server has in its cache.
 func (s *server) cached(keys []uint64, parts []galenalatch.PromptPart) int {
--- a/internal/decide/placement/server_test.go
+++ b/internal/decide/placement/server_test.go
@@ -10,6 +10,21 @@
 	"github.com/galenalatch/galenalatch"
 )
 
+// Guards against permits of a cold server that are lost by requests which were not
+// sent, such as those refused for their share.
+func TestUnsentRequestsToColdServer(t *testing.T) {
+	table := newTable("r1", 0)
+	table.SetRouters([]galenalatch.RouterID{"r1"})
+	cold := registration(0)
+	cold.ColdFor = time.Minute
+	table.Put(start, cold)
+	for i := range 20 {
+		p, ok := table.Choose(start, prompt(i))
+		assert.Assert(t, ok, "after %d requests that were not sent", i)
+		table.Release(start, p, Unsent)
+	}
+}
+
 // Guards against a cold server with another number of owners than coldOwners,
 // and against an owner that uses more or less than its share of the bound.
 func TestColdOwners(t *testing.T) {
