--- a/internal/decide/quarantine/check.go
+++ b/internal/decide/quarantine/check.go
@@ -97,19 +97,9 @@
 	case galenalatch.CrashBegun:
 		return begunPoints
 	case galenalatch.CrashWaiting:
-		if !l.anyBegun(crash) {
+		if l.begun[crash] == 0 {
 			return waitingPoints
 		}
 	}
 	return 0
 }
-
-// anyBegun reports whether the answer of a suspect had begun at a crash.
-func (l *List) anyBegun(crash uint32) bool {
-	for _, s := range l.suspects {
-		if s.crashes[crash] == galenalatch.CrashBegun {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/decide/quarantine/exchange.go
+++ b/internal/decide/quarantine/exchange.go
@@ -47,7 +47,7 @@
 		if s == nil {
 			continue
 		}
-		changed := s.merge(now, p)
+		changed := l.merge(now, s, p)
 		// A router with an older list learns of this one.
 		s.changed = s.changed || changed && forward || s.ahead(p)
 		l.report(p.Part, s)
@@ -63,11 +63,11 @@
 	return p
 }
 
-// merge adds the entry of another router and reports whether it held something new.
-func (s *suspect) merge(now time.Time, p galenalatch.SuspectPart) bool {
+// merge adds the entry of another router to a suspect and reports whether it held something new.
+func (l *List) merge(now time.Time, s *suspect, p galenalatch.SuspectPart) bool {
 	changed := false
 	for _, c := range p.Crashes {
-		if c.State <= galenalatch.CrashCleared && s.advance(c.Server, c.State) {
+		if c.State <= galenalatch.CrashCleared && l.advance(s, c.Server, c.State) {
 			changed = true
 		}
 	}
--- a/internal/decide/quarantine/list.go
+++ b/internal/decide/quarantine/list.go
@@ -75,12 +75,14 @@
 	Options
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
-	sentAll  time.Time
+	// begun is the number of suspects whose answer had begun at a crash.
+	begun   map[uint32]int
+	sentAll time.Time
 }
 
 // New returns a list without suspects.
 func New(o Options) *List {
-	return &List{Options: o, suspects: make(map[uint64]*suspect)}
+	return &List{Options: o, suspects: make(map[uint64]*suspect), begun: make(map[uint32]int)}
 }
 
 // Key returns the hash that identifies a part of prompts for a model.
@@ -111,7 +113,7 @@
 			continue
 		}
 		s.name = p.ID
-		if s.advance(crashKey(c.Server, c.Started), state) {
+		if l.advance(s, crashKey(c.Server, c.Started), state) {
 			s.newest, s.changed = now, true
 			l.report(key, s)
 		}
@@ -128,7 +130,7 @@
 	}
 	for _, p := range parts {
 		key := Key(model, p.ID)
-		if s, ok := l.suspects[key]; ok && s.clear() {
+		if s, ok := l.suspects[key]; ok && l.clear(s) {
 			s.changed = true
 			l.report(key, s)
 		}
@@ -142,11 +144,19 @@
 	for key, s := range l.suspects {
 		age := now.Sub(s.newest)
 		if s.cleared() && age > clearedTime || !s.held && age > suspicionTime {
-			delete(l.suspects, key)
+			l.remove(key)
 		}
 	}
 }
 
+// remove removes a suspect.
+func (l *List) remove(key uint64) {
+	for crash, state := range l.suspects[key].crashes {
+		l.countBegun(crash, state, galenalatch.CrashCleared)
+	}
+	delete(l.suspects, key)
+}
+
 // suspect returns the entry of a part. In a full list it replaces the oldest one that
 // is not held, and returns nil when all are held.
 func (l *List) suspect(now time.Time, key uint64) *suspect {
@@ -170,8 +180,46 @@
 			oldest, oldestKey = s, key
 		}
 	}
-	delete(l.suspects, oldestKey)
-	return oldest != nil
+	if oldest == nil {
+		return false
+	}
+	l.remove(oldestKey)
+	return true
+}
+
+// advance sets the state of a crash for a suspect unless it is as far already. It
+// reports whether it has changed. A suspect with maxCrashes crashes takes no more.
+func (l *List) advance(s *suspect, crash uint32, state galenalatch.CrashState) bool {
+	old, ok := s.crashes[crash]
+	if state <= old || !ok && len(s.crashes) >= maxCrashes {
+		return false
+	}
+	s.crashes[crash] = state
+	l.countBegun(crash, old, state)
+	return true
+}
+
+// clear clears all crashes of a suspect. It reports whether there were any.
+func (l *List) clear(s *suspect) bool {
+	changed := false
+	for crash := range s.crashes {
+		changed = l.advance(s, crash, galenalatch.CrashCleared) || changed
+	}
+	return changed
+}
+
+// countBegun updates begun for a change of the state of a crash.
+func (l *List) countBegun(crash uint32, from, to galenalatch.CrashState) {
+	if to == galenalatch.CrashBegun {
+		l.begun[crash]++
+	}
+	if from != galenalatch.CrashBegun {
+		return
+	}
+	l.begun[crash]--
+	if l.begun[crash] == 0 {
+		delete(l.begun, crash)
+	}
 }
 
 // report calls Held or Released when the state of a part has changed.
--- a/internal/decide/quarantine/list_test.go
+++ b/internal/decide/quarantine/list_test.go
@@ -150,4 +150,5 @@
 	assert.Assert(t, held)
 	l.Expire(now.Add(suspicionTime + 2*time.Second))
 	assert.Equal(t, len(l.suspects), 1)
+	assert.Equal(t, len(l.begun), maxCrashes, "crashes of removed suspects are counted")
 }
--- a/internal/decide/quarantine/suspect.go
+++ b/internal/decide/quarantine/suspect.go
@@ -20,29 +20,6 @@
 	changed bool
 }
 
-// advance sets the state of a crash unless it is as far already. It reports whether
-// it has changed. A suspect with maxCrashes crashes takes no more.
-func (s *suspect) advance(crash uint32, state galenalatch.CrashState) bool {
-	old, ok := s.crashes[crash]
-	if state <= old || !ok && len(s.crashes) >= maxCrashes {
-		return false
-	}
-	s.crashes[crash] = state
-	return true
-}
-
-// clear clears all crashes. It reports whether there were any.
-func (s *suspect) clear() bool {
-	changed := false
-	for crash, state := range s.crashes {
-		if state != galenalatch.CrashCleared {
-			s.crashes[crash] = galenalatch.CrashCleared
-			changed = true
-		}
-	}
-	return changed
-}
-
 // open returns the number of crashes that are not cleared.
 func (s *suspect) open() int {
 	n := 0
