Identify processes of servers in one place

quarantine and placement hashed the id and the start of a server in the same way; ServerID.ProcessKey does it now. The tests of large fleets share the creation of their routers.

--- a/identity.go
+++ b/identity.go
@@ -4,6 +4,9 @@
 	"crypto/rand"
 	"encoding/base64"
 	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RouterID identifies a router instance. It is the name in the instance list,
@@ -13,6 +16,13 @@
 // ServerID identifies a backend server instance.
 type ServerID string
 
+// ProcessKey returns a hash that identifies the process of the server with the given
+// Registration.Started in messages between routers. A server may start again under its
+// id.
+func (id ServerID) ProcessKey(started int64) uint32 {
+	return uint32(xxhash.Sum64String(string(id) + "\x00" + strconv.FormatInt(started, 10)))
+}
+
 // RequestID identifies a request on all routers and backend servers, over all
 // attempts.
 type RequestID string
--- a/internal/decide/placement/limit.go
+++ b/internal/decide/placement/limit.go
@@ -1,11 +1,8 @@
 package placement
 
 import (
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/galenalatch/galenalatch"
 )
 
@@ -58,11 +55,6 @@
 	At    time.Time
 }
 
-// limitKey identifies the process of a server in messages about its limit.
-func (s *server) limitKey() uint32 {
-	return uint32(xxhash.Sum64String(string(s.ID) + "\x00" + strconv.FormatInt(s.Started, 10)))
-}
-
 // limited reports whether the server names a limit.
 func (s *server) limited(now time.Time) bool {
 	return s.limit.named && now.Sub(s.limit.at) < limitMemory
@@ -119,8 +111,8 @@
 	reports := make(map[uint32]LimitReport)
 	for _, s := range t.servers {
 		l := s.limit
-		if l.own && (l.named || l.everNamed) && now.Sub(l.at) < limitReportTime {
-			reports[s.limitKey()] = LimitReport{Named: l.named, Rate: l.rate, At: l.at}
+		if l.own && l.everNamed && now.Sub(l.at) < limitReportTime {
+			reports[s.ID.ProcessKey(s.Started)] = LimitReport{Named: l.named, Rate: l.rate, At: l.at}
 		}
 	}
 	return reports
@@ -135,7 +127,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.servers {
-		r, ok := reports[s.limitKey()]
+		r, ok := reports[s.ID.ProcessKey(s.Started)]
 		if ok && r.At.After(s.limit.at) {
 			t.setLimit(now, s, limit{named: r.Named, rate: r.Rate, at: r.At})
 		}
--- a/internal/decide/quarantine/list.go
+++ b/internal/decide/quarantine/list.go
@@ -14,7 +14,6 @@
 package quarantine
 
 import (
-	"strconv"
 	"sync"
 	"time"
 
@@ -93,11 +92,6 @@
 	return d.Sum64()
 }
 
-// crashKey identifies one process of a server in messages between routers.
-func crashKey(id galenalatch.ServerID, started int64) uint32 {
-	return uint32(xxhash.Sum64String(string(id) + "\x00" + strconv.FormatInt(started, 10)))
-}
-
 // RecordCrash makes the parts suspects of a crash.
 func (l *List) RecordCrash(now time.Time, c Crash) {
 	l.mu.Lock()
@@ -113,7 +107,7 @@
 			continue
 		}
 		s.name = p.ID
-		if l.advance(s, crashKey(c.Server, c.Started), state) {
+		if l.advance(s, c.Server.ProcessKey(c.Started), state) {
 			s.newest, s.changed = now, true
 			l.report(key, s)
 		}
--- a/internal/peer/load/syncer_test.go
+++ b/internal/peer/load/syncer_test.go
@@ -58,6 +58,20 @@
 	return p
 }
 
+// newPeers returns routers in two data centres by turns, and their list.
+func newPeers(t *testing.T, routers int) ([]*peer, []galenalatch.Instance) {
+	t.Helper()
+	var peers []*peer
+	var list []galenalatch.Instance
+	for i := range routers {
+		d := galenalatch.DataCentre("ab"[i%2 : i%2+1])
+		p := newPeer(t, galenalatch.RouterID(fmt.Sprint("r", i)), d)
+		peers = append(peers, p)
+		list = append(list, galenalatch.Instance{ID: string(p.Self), Role: galenalatch.RouterRole, Address: p.address, DataCentre: d})
+	}
+	return peers, list
+}
+
 // Guards against load that does not reach the other router, and against answers
 // of the store that are not forwarded.
 func TestLoadReachesOtherRouter(t *testing.T) {
@@ -105,14 +119,7 @@
 // not receive it any more when one relay has stopped.
 func TestLoadInLargeFleet(t *testing.T) {
 	const routers = topology.MaxFullMesh + 2
-	var peers []*peer
-	var list []galenalatch.Instance
-	for i := range routers {
-		d := galenalatch.DataCentre("ab"[i%2 : i%2+1])
-		p := newPeer(t, galenalatch.RouterID(fmt.Sprint("r", i)), d)
-		peers = append(peers, p)
-		list = append(list, galenalatch.Instance{ID: string(p.Self), Role: galenalatch.RouterRole, Address: p.address, DataCentre: d})
-	}
+	peers, list := newPeers(t, routers)
 	for _, p := range peers {
 		assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
 	}
@@ -187,14 +194,7 @@
 // reach the routers of other data centres, or a router that connects later.
 func TestSuspectsInLargeFleet(t *testing.T) {
 	const routers = topology.MaxFullMesh + 2
-	var peers []*peer
-	var list []galenalatch.Instance
-	for i := range routers {
-		d := galenalatch.DataCentre("ab"[i%2 : i%2+1])
-		p := newPeer(t, galenalatch.RouterID(fmt.Sprint("r", i)), d)
-		peers = append(peers, p)
-		list = append(list, galenalatch.Instance{ID: string(p.Self), Role: galenalatch.RouterRole, Address: p.address, DataCentre: d})
-	}
+	peers, list := newPeers(t, routers)
 	deadly := []galenalatch.PromptPart{{ID: "deadly"}}
 	held := func(p *peer) func(poll.LogT) poll.Result {
 		return func(poll.LogT) poll.Result {
