--- /dev/null
+++ b/message_gateway.go
@@ -0,0 +1,177 @@
+package galenalatch
+
+import "time"
+
+// ServerLoad is the load of a router on one backend server. It is encoded as an
+// array to save bytes, since it is sent several times a second.
+type ServerLoad struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id.
+	Server uint32
+	// Running is the number of running requests, at most 65535.
+	Running uint16
+	// PrefillMillis is the predicted time in milliseconds until the server
+	// has prefilled the prompts of the requests without a first token, at most
+	// 65535.
+	PrefillMillis uint16
+}
+
+// WorkspaceUsage is the number of tokens that a workspace requested from a
+// router and that the router started work on.
+type WorkspaceUsage struct {
+	_ struct{} `cbor:",toarray"`
+	// Workspace is a hash of the workspace's name.
+	Workspace uint32
+	// Requested and Started are the requested and the started tokens, in
+	// thousands, within the sliding window of the fair shares.
+	Requested uint32
+	Started   uint32
+}
+
+// OtherUsage is the sum over the workspaces that have no WorkspaceUsage of
+// their own in a message.
+type OtherUsage struct {
+	_ struct{} `cbor:",toarray"`
+	// Count is the number of workspaces. In a sum over routers, a workspace
+	// counts once for each router that left it out.
+	Count uint32
+	// Requested and Started are the requested and the started tokens, in
+	// thousands, within the sliding window of the fair shares.
+	Requested uint32
+	Started   uint32
+}
+
+// RouterLoad is the load of a router. Each message replaces the previous one.
+type RouterLoad struct {
+	// Servers are the backend servers with running requests.
+	Servers []ServerLoad `cbor:"s"`
+	// Workspaces are those that requested most, and Others the rest; nil when
+	// there is none.
+	Workspaces []WorkspaceUsage `cbor:"w"`
+	Others     *OtherUsage      `cbor:"o,omitempty"`
+	// AgeTenths is the time for which the fleet has served requests, in
+	// tenths of a second and at most the window of the fair shares. It tells
+	// a router that joins whether the fleet has just started too. 0 means
+	// less than a tenth of a second, or unknown.
+	AgeTenths uint8 `cbor:"a,omitempty"`
+	// Limits tells which servers name a limit or have ceased to.
+	Limits []ServerLimit `cbor:"l,omitempty"`
+}
+
+// ServerLimit is what a server's answer has told about its limit.
+type ServerLimit struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id and start.
+	Server uint32
+	// Named is unset when the server names no limit any more. MilliRate is the
+	// limit in thousandths of requests per second.
+	Named     bool
+	MilliRate uint32
+	// AgeTenths is the time since the answer in tenths of a second.
+	AgeTenths uint16
+}
+
+// RemoteDataCentres is used in place of a router id for the sum of all routers
+// of the other data centres, where loads are kept by router.
+const RemoteDataCentres RouterID = ""
+
+// DataCentreLoad is the sum of the loads of all routers of a data centre. The
+// relay routers of the data centres send it to each other.
+type DataCentreLoad struct {
+	Load RouterLoad `cbor:"u"`
+}
+
+// RemoteLoad is the sum of the loads of the routers of all other data
+// centres. A relay router sends it to the routers of its own data centre.
+type RemoteLoad struct {
+	Load RouterLoad `cbor:"u"`
+}
+
+// CrashState tells how far the request with a prompt part was when its server ended.
+// It only advances.
+type CrashState uint8
+
+// The states of a crash for a prompt part.
+const (
+	// CrashWaiting means that the request waited for its answer.
+	CrashWaiting CrashState = iota + 1
+	// CrashBegun means that the head of the answer was received and no event.
+	CrashBegun
+	// CrashCleared means that a request with the part had its first event after
+	// the crash, so that the part did not cause it.
+	CrashCleared
+)
+
+// PartCrash is the end of a server that a prompt part may have caused.
+type PartCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id and start.
+	Server uint32
+	State  CrashState
+}
+
+// SuspectPart is a prompt part with the crashes that it may have caused.
+type SuspectPart struct {
+	_ struct{} `cbor:",toarray"`
+	// Part is a hash of the model and the id of the part.
+	Part uint64
+	// AgeSeconds is the time since the newest crash or trial in seconds, Trials
+	// the number of requests that were let through although the part was held.
+	AgeSeconds uint32
+	Trials     uint8
+	Crashes    []PartCrash
+}
+
+// Age returns the time since the newest crash or trial.
+func (p SuspectPart) Age() time.Duration { return time.Duration(p.AgeSeconds) * time.Second }
+
+// PromptSuspects tells which prompt parts may end backend servers. A message adds
+// to what the receiver knows.
+type PromptSuspects struct {
+	Parts []SuspectPart `cbor:"p"`
+}
+
+// StoreAnswer is an answer of one of the store's feeds that a relay router
+// forwards to the routers of its data centre. It holds the changes from After
+// to Version. An answer without changes proves that there were none.
+type StoreAnswer struct {
+	// Feed is "operators", "servers" or the name of one of the system's own
+	// tables.
+	Feed string `cbor:"feed"`
+	// After and Version are versions of the store.
+	After   uint64 `cbor:"after"`
+	Version uint64 `cbor:"version"`
+	// Clock is the store's monotonic clock at the time of the answer.
+	Clock time.Duration `cbor:"clock"`
+	// Configuration, OutOfService and BackInService are set in the operators'
+	// feed, as in OperatorUpdate.
+	Configuration *Configuration `cbor:"configuration,omitempty"`
+	OutOfService  []DataCentre   `cbor:"out,omitempty"`
+	BackInService []DataCentre   `cbor:"in,omitempty"`
+	// Registered and Removed are set in the servers' feed, as in ServerUpdate.
+	Registered []Registration `cbor:"present,omitempty"`
+	Removed    []ServerID     `cbor:"gone,omitempty"`
+	// Rows is set in the feeds of the system's own tables.
+	Rows []StoreRow `cbor:"rows,omitempty"`
+}
+
+// Position returns the position in the store's history that the answer shows.
+// It is marked as relayed.
+func (a StoreAnswer) Position() Position {
+	return Position{Version: a.Version, Clock: a.Clock, Relayed: true}
+}
+
+// MessageType implements Message.
+func (RouterLoad) MessageType() string { return "routerUse" }
+
+// MessageType implements Message.
+func (DataCentreLoad) MessageType() string { return "dataCentreUse" }
+
+// MessageType implements Message.
+func (RemoteLoad) MessageType() string { return "elsewhereUse" }
+
+// MessageType implements Message.
+func (PromptSuspects) MessageType() string { return "promptSuspects" }
+
+// MessageType implements Message.
+func (StoreAnswer) MessageType() string { return "storeAnswer" }
