Say crash for the unplanned end of a server

Comments, the refusal and the texts of metrics and events on held prompt parts spoke of servers that end. The usual word is crash. Nothing else changes.

--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -56,7 +56,7 @@
 	// Ledger counts the tokens that workspaces request and that are started
 	// for them.
 	Ledger *share.Ledger
-	// Quarantine holds the prompt parts that end servers.
+	// Quarantine holds the prompt parts that crash servers.
 	Quarantine *quarantine.List
 }
 
--- a/internal/caller/host/interruption.go
+++ b/internal/caller/host/interruption.go
@@ -22,8 +22,8 @@
 	ServerEnded bool
 }
 
-// suspicious reports whether the request itself may have ended the server. It is not
-// sent to another one, which it might end as well.
+// suspicious reports whether the request itself may have crashed the server. It is not
+// sent to another one, which it might crash as well.
 func (i Interruption) suspicious() bool {
 	return i.Begun && i.ServerEnded
 }
@@ -34,7 +34,7 @@
 	return t.call.Prompt[:max(len(t.call.Prompt)-1, 0)]
 }
 
-// checkPrompt refuses a request with a prompt part that ends servers. The caller is
+// checkPrompt refuses a request with a prompt part that crashes servers. The caller is
 // not asked to return, since it would be refused again.
 func (t *transaction) checkPrompt() error {
 	if t.trial {
@@ -45,7 +45,7 @@
 	if !held {
 		return nil
 	}
-	return galenalatch.KindPromptHeld.Errorf("%d backend servers ended when they began an answer on prompt part %.64q, the last one %s ago", f.Crashes, f.Part, f.Age.Round(time.Second))
+	return galenalatch.KindPromptHeld.Errorf("%d backend servers crashed when they began a response to prompt part %.64q, the last one %s ago", f.Crashes, f.Part, f.Age.Round(time.Second))
 }
 
 // recordFirstEvent records that the request has the first event of its answer.
@@ -53,7 +53,7 @@
 	t.h.Quarantine.RecordFirstEvent(t.call.Model, t.sharedParts())
 }
 
-// recordInterruption records an exchange that broke off. If its server has ended,
+// recordInterruption records an exchange that broke off. If its server has crashed,
 // the parts of the prompt become suspects.
 func (t *transaction) recordInterruption(ctx context.Context, p *placement.Reservation) {
 	i := t.interruption(ctx, p)
@@ -74,9 +74,9 @@
 	return Interruption{Parts: parts, Begun: t.begun, ServerEnded: t.serverEnded(ctx, p)}
 }
 
-// serverEnded reports whether the process of a server has ended unplanned. The end
-// of a connection does not show that: networks and servers also end connections
-// one by one.
+// serverEnded reports whether the process of a server has ended without a plan. A
+// closed connection does not show that: networks and servers also close single
+// connections.
 func (t *transaction) serverEnded(ctx context.Context, p *placement.Reservation) bool {
 	return t.h.Table.Usable(time.Now(), p.Server) && t.h.Client.Refuses(ctx, p.Server, p.Address)
 }
--- a/internal/decide/quarantine/check.go
+++ b/internal/decide/quarantine/check.go
@@ -11,8 +11,8 @@
 type Finding struct {
 	// Part is the id of the part.
 	Part string
-	// Crashes is the number of servers that ended on the part and no other
-	// explanation, Age the time since the newest one.
+	// Crashes is the number of crashes that no other part explains, Age the
+	// time since the newest one.
 	Crashes int
 	Age     time.Duration
 	// Trial is set for a request that is not held back, to find out whether the
@@ -22,8 +22,8 @@
 
 // Check reports whether a request with these parts must be held back.
 //
-// Several parts of a prompt may explain the same crashes: those that requests with
-// the deadly part have in common. A part counts only with the crashes that no other
+// Several parts of a prompt may explain the same crashes: those that all requests
+// with the crashing part have in common. A part counts only with the crashes that no other
 // suspect explains as well which the request lacks. So requests with only one of
 // the parts are still sent, and clear it by their first event.
 func (l *List) Check(now time.Time, model string, parts []galenalatch.PromptPart) (Finding, bool) {
--- a/internal/decide/quarantine/list.go
+++ b/internal/decide/quarantine/list.go
@@ -1,12 +1,12 @@
-// Package quarantine finds the prompt parts that end backend servers and holds
+// Package quarantine finds the prompt parts that crash backend servers and holds
 // requests with them back.
 //
-// A server that ends on a part does so when it begins an answer, whatever else the
-// prompt holds. Each request without a first event at a server that has ended makes
-// the parts of its prompt suspects of that crash. A first event of any request
-// clears its parts, since a deadly part never gets that far. What remains are
-// crashes that a part can explain; the routers exchange them, because in a large
-// fleet no router sees two crashes by itself.
+// Such a part crashes a server when the server begins the response, whatever else
+// the prompt contains. When a server has crashed, each of its requests without a
+// first event makes the parts of its prompt suspects of that crash. The first event
+// of any request clears its parts, since a request with the crashing part never gets
+// one. What remains are the crashes that a part can explain. The routers exchange
+// them, because in a large fleet no router sees two crashes by itself.
 //
 // For each part and crash the state only advances: waiting, begun, cleared. So the
 // lists of all routers become equal, in whatever order messages arrive. The package
@@ -39,8 +39,8 @@
 	suspicionTime = 10 * time.Minute
 	clearedTime   = time.Minute
 	// firstTrial is the time after the newest crash at which one request with a
-	// held part is let through. It doubles with each of maxTrials trials, of
-	// which each may end a server.
+	// held part is let through. It doubles with each of maxTrials trials, each of
+	// which may crash a server.
 	firstTrial = 5 * time.Minute
 	maxTrials  = 2
 )
@@ -57,9 +57,9 @@
 	Released func(part uint64, name string)
 }
 
-// Crash is the end of a server as seen by one of its requests without a first event.
+// Crash is the crash of a server as seen by one of its requests without a first event.
 type Crash struct {
-	// Server and Started identify the process that has ended.
+	// Server and Started identify the process that has crashed.
 	Server  galenalatch.ServerID
 	Started int64
 	Model   string
--- a/internal/decide/quarantine/suspect.go
+++ b/internal/decide/quarantine/suspect.go
@@ -10,7 +10,7 @@
 type suspect struct {
 	// name is the id of the part, if this router has seen a request with it.
 	name string
-	// crashes holds the state of each crash by the key of the process that ended.
+	// crashes holds the state of each crash by the key of the process.
 	crashes map[uint32]galenalatch.CrashState
 	// newest is when the newest crash or trial was seen.
 	newest time.Time
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -22,7 +22,7 @@
 	responses *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
-	// interruptions counts requests without a first event whose server ended.
+	// interruptions counts requests without a first event whose server crashed.
 	interruptions *prometheus.CounterVec
 	// limitChanges counts changes of the limits that servers name.
 	limitChanges prometheus.Counter
@@ -42,9 +42,9 @@
 		responses:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_answers_total", Help: "Final answers of requests that were sent to a backend server, by status; 0 stands for a closed connection."}, []string{"status"}),
 		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_refusals_total", Help: "Requests that were not run, by kind."}, []string{"kind"}),
 		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_attempts_total", Help: "Attempts at backend servers by result."}, []string{"result"}),
-		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_interruptions_total", Help: "Requests with a prompt whose server ended before their first event, by whether the answer had begun."}, []string{"begun"}),
+		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_interruptions_total", Help: "Requests with a prompt whose server crashed before their first event, by whether the answer had begun."}, []string{"begun"}),
 		limitChanges:  prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_limit_changes_total", Help: "Changes of the limits that backend servers name in their answers."}),
-		heldParts:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "galenalatch_gateway_held_parts", Help: "Prompt parts that are held back because servers ended on them."}),
+		heldParts:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "galenalatch_gateway_held_parts", Help: "Prompt parts that are held back because servers crashed on them."}),
 		firstByte:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galenalatch_gateway_first_piece_seconds", Help: "Time from the arrival of a request to the first piece of its answer, by service.", Buckets: firstByteBuckets}, []string{"service"}),
 		dials:         prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_dials_total", Help: "New connections to backend servers."}),
 	}
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -214,7 +214,7 @@
 	GatewayAnswered: {log.InfoLevel, "request answered",
 		"The final answer of a request that was sent to a backend server. A status of 502, 504 or 0 (connection closed) means that the outcome is unknown.", none},
 	PartHeld: {log.WarnLevel, "prompt part held",
-		"Servers ended when they began an answer on this prompt part, or the parts that come with it, and on no other part that explains it. Requests with it are refused with `promptHeld`. `crashes` is the number of servers in the fleet; `part` is empty on a router that has had no request with it, and `key` is the same on all routers.",
+		"Servers crashed when they began a response to prompts with this part, or with parts that come together with it. Requests with it are refused with `promptHeld`. `crashes` is the number of servers in the fleet; `part` is empty on a router that has had no request with it, and `key` is the same on all routers.",
 		"Find the caller by 8003 with the same part. The part is tried again by one request after 5 and 10 minutes."},
 	PartReleased: {log.InfoLevel, "prompt part released",
 		"A request with the prompt part had the first event of its answer. Requests with it are sent again.", none},
--- a/kind.go
+++ b/kind.go
@@ -34,7 +34,7 @@
 	// KindQueueFull means that the queue of the workspace is full, or there is
 	// no capacity for the request.
 	KindQueueFull Kind = "queueFull"
-	// KindPromptHeld means that the prompt has a part that ends backend servers.
+	// KindPromptHeld means that the prompt has a part that crashes backend servers.
 	KindPromptHeld Kind = "promptHeld"
 	// KindWaitTimeout means that the request waited for too long.
 	KindWaitTimeout Kind = "waitTimeout"
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -87,7 +87,7 @@
 	Load RouterLoad `cbor:"u"`
 }
 
-// CrashState tells how far the request with a prompt part was when its server ended.
+// CrashState tells how far the request with a prompt part was when its server crashed.
 // It only advances.
 type CrashState uint8
 
@@ -125,7 +125,7 @@
 // Age returns the time since the newest crash or trial.
 func (p SuspectPart) Age() time.Duration { return time.Duration(p.AgeSeconds) * time.Second }
 
-// PromptSuspects tells which prompt parts may end backend servers. A message adds
+// PromptSuspects tells which prompt parts may crash backend servers. A message adds
 // to what the receiver knows.
 type PromptSuspects struct {
 	Parts []SuspectPart `cbor:"p"`
