Do not take a late rejection without an id for the next request's

Callers could see: a request that must not be repeated runs twice. A server that sends a second copy of a rejection late, on a connection in use again, makes the router believe that the next request was not run; it then sends it to another server, while the first one runs it.

Cause: a response without an id that says "not run" was accepted on any connection. Answers with the id of another request were skipped already.

Change: on a connection that has carried an exchange only a response with the id of the request counts. TestLateSecondAnswer failed before in two of eight cases, "not run, without an id" and "for another server, without an id"; answers come byte by byte there.

--- a/internal/backend/exchange/connection.go
+++ b/internal/backend/exchange/connection.go
@@ -41,6 +41,8 @@
 	// dirty is set when a response to another request was received. Such a
 	// connection is not reused.
 	dirty bool
+	// used is set once an exchange on the connection has ended.
+	used bool
 	// idleSince is the start of the idle time, idleUntil its timeout.
 	idleSince, idleUntil time.Time
 }
--- a/internal/backend/exchange/response.go
+++ b/internal/backend/exchange/response.go
@@ -51,8 +51,9 @@
 }
 
 // readResponse reads the head of the response with the id of the request. It
-// skips a bounded number of responses to other requests, and accepts one
-// without an id that states that the request was not run.
+// skips a bounded number of responses to other requests. On a new connection it
+// accepts one without an id that states that the request was not run; on a used one
+// that may be a late response to an earlier request.
 func (a *Response) readResponse(r *Request) error {
 	a.connection.headBytesLeft = maxHeadBytes
 	for range 1 + maxForeignResponses {
@@ -61,7 +62,7 @@
 			return fmt.Errorf("read the response: %w", err)
 		}
 		head := a.client.Headers.Response(response.StatusCode, response.Header)
-		if head.ID == r.ID || head.ID == "" && !head.Sealed && head.NotRun {
+		if head.ID == r.ID || head.ID == "" && !head.Sealed && head.NotRun && !a.connection.used {
 			a.Status, a.Header, a.Head, a.response = response.StatusCode, response.Header, head, response
 			a.Body, a.Length = response.Body, response.ContentLength
 			return nil
@@ -95,6 +96,7 @@
 		k.abort()
 		return
 	}
+	k.used = true
 	k.startIdle(a.Head.KeepAlive)
 	a.client.putIdle(a.request.Server, k)
 }
