Let workspaces with their share yield to the worst served one

Cause: the limit of each workspace followed its own figures only. Nobody noticed that another one was below its share, for whatever reason. The router's own delay counted against workspaces below their share, and permits that would be lost went to workspaces far above others.

Change: the limit of a workspace with its share falls by what the worst served one has of what it is due, at most to half; the router's delay counts less below the share; spare permits need at most 1.25 times what the worst served one has.

--- a/internal/decide/admission/policy.go
+++ b/internal/decide/admission/policy.go
@@ -20,6 +20,15 @@
 // root.
 const excessExponent = 7.5
 
+// yieldFrom is the part of its share from which on a workspace yields to others that
+// have less than they are due. Between it and the share it yields in part.
+const yieldFrom = 0.75
+
+// spareExcess is how much more of its share than the worst served one a workspace may
+// have that gets what an engine would lose. The worst served one may be on routers that
+// cannot send to the engine, and others then have to leave it the rest.
+const spareExcess = 1.25
+
 // Policy holds the limits on the predicted time to the first token, as
 // fractions of the target latency.
 type Policy struct {
@@ -37,11 +46,14 @@
 	// MinLimit is the lowest limit for a workspace that is not above both of
 	// its shares: nearly idle engines admit any of its requests.
 	MinLimit float64
+	// MinYield is the lowest factor by which the limit falls for workspaces that
+	// have what they are due, while others have less.
+	MinYield float64
 }
 
 // Default returns the policy of a gateway.
 func Default() Policy {
-	return Policy{ShareLimit: 0.95, MaxLimit: 2.5, MaxWait: 3, MinLimit: 0.15}
+	return Policy{ShareLimit: 0.95, MaxLimit: 2.5, MaxWait: 3, MinLimit: 0.15, MinYield: 0.5}
 }
 
 // Request describes a request for the decision.
@@ -86,12 +98,12 @@
 	// prompts of a route would be refused at queues at which short ones are not.
 	wait -= max(d.Prefill-d.MeanPrefill, 0)
 	limit := p.limit(d.Fractions)
-	if d.Spare {
+	if d.Spare && d.Fractions.OfStarted <= spareExcess*d.Fractions.Least {
 		// The wait does not show that others wait for the engine.
 		limit = max(limit, p.ShareLimit)
 	}
 	if limit >= p.ShareLimit {
-		return within(wait, limit)
+		return within(wait-time.Duration(p.excused(limit)*float64(d.Overhead)), limit)
 	}
 	// Overhead comes from a router that lacks processor time and does not show
 	// that the engines are overloaded.
@@ -108,9 +120,26 @@
 // until the others report it, and none of them for the rest of the window.
 func (p Policy) limit(f share.Fractions) float64 {
 	above := max(f.Pace, 1) * max(f.OfRate, f.OfStarted)
+	yield := p.yield(above, f.Least)
 	if above <= 1 {
-		return min(p.ShareLimit/above, p.MaxLimit)
+		return min(yield*p.ShareLimit/above, p.MaxLimit)
 	}
 	excess := max(f.Pace*min(f.OfRate, f.OfStarted), 1)
-	return max(p.ShareLimit/above, p.MinLimit) / math.Pow(excess, excessExponent)
+	return max(yield*p.ShareLimit/above, p.MinLimit) / math.Pow(excess, excessExponent)
+}
+
+// excused returns the part of a delay that comes from the router and does not count
+// against a workspace with a limit above ShareLimit: one that has little of its share
+// is served late rather than not at all.
+func (p Policy) excused(limit float64) float64 {
+	return min(limit/p.ShareLimit-1, 1)
+}
+
+// yield returns the factor by which the limit of a workspace falls because another
+// one has less than it is due. It applies in full to a workspace that has its share,
+// and not below yieldFrom of the share.
+func (p Policy) yield(above, least float64) float64 {
+	full := min(max(least, p.MinYield), 1)
+	part := min(max((above-yieldFrom)/(1-yieldFrom), 0), 1)
+	return 1 - part*(1-full)
 }
--- a/internal/decide/admission/policy_test.go
+++ b/internal/decide/admission/policy_test.go
@@ -50,10 +50,24 @@
 		{"late with nothing of the share", Request{TargetLatency: targetLatency, Wait: 2500 * time.Millisecond}, true},
 		{"after the time limit", Request{TargetLatency: targetLatency, TimeLimit: 2 * time.Second, Wait: 1500 * time.Millisecond, Waited: 600 * time.Millisecond}, false},
 		{"too late for any workspace", Request{TargetLatency: targetLatency, Wait: 2510 * time.Millisecond}, false},
+		{"long prompt at idle engines", Request{TargetLatency: targetLatency, Wait: 500 * time.Millisecond, Prefill: 450 * time.Millisecond, MeanPrefill: 80 * time.Millisecond, Fractions: share.Fractions{OfRate: 7}}, true},
+		{"long prompt at busy engines", Request{TargetLatency: targetLatency, Wait: 600 * time.Millisecond, Prefill: 450 * time.Millisecond, MeanPrefill: 80 * time.Millisecond, Fractions: share.Fractions{OfRate: 7}}, false},
+		{"long prompt whose caller would leave", Request{TargetLatency: targetLatency, Wait: 3010 * time.Millisecond, Prefill: 3 * time.Second, MeanPrefill: 80 * time.Millisecond}, false},
+		{"at the share while another one has half of what it is due", Request{TargetLatency: targetLatency, Wait: 500 * time.Millisecond, Fractions: share.Fractions{OfRate: 1, OfStarted: 1, Least: 0.5}}, false},
+		{"at the share while another one has nothing", Request{TargetLatency: targetLatency, Wait: 470 * time.Millisecond, Fractions: share.Fractions{OfRate: 1, OfStarted: 1, Least: 0.01}}, true},
+		{"below the share while another one has less", Request{TargetLatency: targetLatency, Wait: 1300 * time.Millisecond, Fractions: share.Fractions{OfRate: 0.7, OfStarted: 0.7, Least: 0.5}}, true},
+		{"late because of the router with half of the share", Request{TargetLatency: targetLatency, Wait: 2300 * time.Millisecond, Overhead: 500 * time.Millisecond, Fractions: share.Fractions{OfRate: 0.5}}, true},
+		{"late because of the router with most of the share", Request{TargetLatency: targetLatency, Wait: 1400 * time.Millisecond, Overhead: 500 * time.Millisecond, Fractions: share.Fractions{OfRate: 0.9}}, false},
+		{"permit that would be lost", Request{TargetLatency: targetLatency, Wait: 500 * time.Millisecond, Spare: true, Fractions: share.Fractions{OfRate: 2, OfStarted: 1.2}}, true},
+		{"permit that would be lost while another workspace has far less", Request{TargetLatency: targetLatency, Wait: 500 * time.Millisecond, Spare: true, Fractions: share.Fractions{OfRate: 2, OfStarted: 1.2, Least: 0.5}}, false},
 		{"no target latency", Request{Wait: time.Hour}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			if tt.request.Fractions.Least == 0 {
+				// All workspaces have what they are due.
+				tt.request.Fractions.Least = 1
+			}
 			assert.Equal(t, Default().Admit(tt.request), tt.admit)
 		})
 	}
--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -28,6 +28,9 @@
 	// that work may start ahead of the throughput: engines accept what they can
 	// start within the target latency.
 	initialCredit = 500 * time.Millisecond
+	// minLeastShare is the part of a fair share from which on a workspace counts
+	// for Fractions.Least: a few refused requests say little about less.
+	minLeastShare = 0.1
 )
 
 // Usage counts the tokens that a workspace requested and those that were
@@ -60,10 +63,12 @@
 	servingSince time.Time
 	// sums are the usage on all routers at fairShareAt, plus that on this
 	// router since then. rateFairShare is the max-min share of the throughput
-	// at fairShareRate, startedFairShare that of all started tokens.
+	// at fairShareRate, startedFairShare that of all started tokens. least is
+	// Fractions.Least.
 	sums             map[uint32]Usage
 	rateFairShare    float64
 	startedFairShare float64
+	least            float64
 	fairShareAt      time.Time
 	fairShareRate    float64
 }
@@ -200,6 +205,10 @@
 	// same part. Where a workspace suddenly requests more, Pace is the growth of
 	// what this router starts. It is 1 before the fleet has started anything.
 	Pace float64
+	// Least is what the worst served workspace has of what it is due: its requests,
+	// up to its share of all started tokens. Workspaces that are due less than
+	// minLeastShare of such a share do not count.
+	Least float64
 }
 
 // Fractions returns the fractions of a workspace for a throughput of rate tokens
@@ -217,7 +226,7 @@
 	sum := l.sums[Key(w)]
 	return Fractions{
 		OfRate: fraction(sum.Started, l.rateFairShare), OfStarted: fraction(sum.Started, l.startedFairShare),
-		Pace: l.pace(now, Key(w), sum),
+		Pace: l.pace(now, Key(w), sum), Least: l.least,
 	}
 }
 
@@ -254,9 +263,21 @@
 		served := min(l.age(now)+initialCredit, l.window)
 		l.rateFairShare = FairShare(l.sums, aggregate, rate*served.Seconds())
 	}
+	l.least = leastServed(l.sums, l.startedFairShare)
 	l.fairShareAt, l.fairShareRate = now, rate
 }
 
+// leastServed returns Fractions.Least. It is 1 when no workspace counts.
+func leastServed(usage map[uint32]Usage, fairShare float64) float64 {
+	least := 1.0
+	for _, u := range usage {
+		if due := min(u.Requested, fairShare); due > minLeastShare*fairShare {
+			least = min(least, u.Started/due)
+		}
+	}
+	return least
+}
+
 func fraction(used, fairShare float64) float64 {
 	if fairShare <= 0 {
 		return 0
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -297,3 +297,29 @@
 		assert.Assert(t, pace("new") > 0.9 && pace("new") < 1.1, "new on this router for %s: %.2f", d, pace("new"))
 	}
 }
+
+// Guards against a fleet that does not notice that a workspace is served worse than
+// others, or that takes one which asks for little or is far above its share for it.
+func TestLeastServed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name  string
+		usage map[galenalatch.WorkspaceName]Usage
+		least float64
+	}{
+		{"no requests", nil, 1},
+		{"all served", map[galenalatch.WorkspaceName]Usage{"a": {1000, 1000}, "b": {500, 500}}, 1},
+		{"one below its share", map[galenalatch.WorkspaceName]Usage{"a": {8000, 900}, "b": {200, 50}}, 0.25},
+		{"one above its share", map[galenalatch.WorkspaceName]Usage{"a": {8000, 1000}, "b": {200, 200}}, 1},
+		{"one that asks for little", map[galenalatch.WorkspaceName]Usage{"a": {8000, 1000}, "b": {20, 0}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLedger(now, 4*time.Second)
+			for w, u := range tt.usage {
+				l.Add(now, w, u)
+			}
+			assert.Equal(t, l.Fractions(now, "a", 0).Least, tt.least)
+		})
+	}
+}
