Answer the connections that an overloaded router turns away

Cause: a router without processor time closed new connections after the accept. Their callers came back at once through a second router, which shed too. A reset promises nothing and names no time.

Change: the request is answered with 503 and a time to return, unparsed. The answer waits for the request, and the connection for the rest of it.

--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -21,6 +21,13 @@
 // retries.
 const retryAfter = 300 * time.Millisecond
 
+// RefusalHeader returns the header of a refusal for lack of capacity.
+func RefusalHeader(h galenalatch.Headers) http.Header {
+	header := make(http.Header)
+	h.RetryAfter(header, retryAfter)
+	return header
+}
+
 // maxConnectFailures bounds the servers to which one request fails to connect.
 const maxConnectFailures = 3
 
--- a/internal/caller/ingress/server.go
+++ b/internal/caller/ingress/server.go
@@ -48,10 +48,13 @@
 	// open. Zero means no limit. More connections are accepted, but above half
 	// of it each answer closes its connection.
 	MaxConnections int
-	// Admit, if set, reports whether a new connection is accepted. Others are
-	// closed at once, since the router could not read their requests in time. The
-	// callers may safely send these again, to another router.
+	// Admit, if set, reports whether a new connection is accepted. The requests of
+	// others are answered with 503 before they are parsed, since the router could
+	// not handle them in time. The callers may safely send them again, to another
+	// router.
 	Admit func() bool
+	// RejectionHeader is the header of these answers.
+	RejectionHeader http.Header
 	// AcceptFailed, if set, is called with the errors of failed accepts and of an
 	// http.Server that stopped.
 	AcceptFailed func(err error)
@@ -75,6 +78,7 @@
 // unless Shutdown has been called.
 func (s *Server) Serve(l net.Listener) error {
 	s.SetLimits(galenalatch.CallerLimits{})
+	rejecter := newRejecter(s.RejectionHeader)
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -93,7 +97,7 @@
 		}
 		if s.Admit != nil && !s.Admit() {
 			s.shedConns.Add(1)
-			_ = c.Close()
+			rejecter.reject(c)
 			continue
 		}
 		s.mu.Lock()
@@ -191,7 +195,7 @@
 // OpenConnections returns the number of open connections.
 func (s *Server) OpenConnections() int { return int(s.openConns.Load()) }
 
-// ShedConnections returns the number of connections that were closed because of
+// ShedConnections returns the number of connections that were rejected because of
 // overload.
 func (s *Server) ShedConnections() int64 { return s.shedConns.Load() }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -172,9 +172,10 @@
 		Quarantine:   g.quarantine,
 	})
 	g.ingress = &ingress.Server{
-		MaxConnections: int(descriptorShare * float64(s.Descriptors)),
-		Admit:          g.overload.Admit,
-		AcceptFailed:   func(err error) { g.log.Event(events.ListenerFailed, "address", s.Listen.Caller, "error", err) },
+		MaxConnections:  int(descriptorShare * float64(s.Descriptors)),
+		Admit:           g.overload.Admit,
+		RejectionHeader: host.RefusalHeader(platform.Headers{}),
+		AcceptFailed:    func(err error) { g.log.Event(events.ListenerFailed, "address", s.Listen.Caller, "error", err) },
 	}
 	g.initPeers(obs)
 	return g, nil
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -52,7 +52,7 @@
 		func() float64 { return float64(o.droppedLines()) })
 	listed := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "galenalatch_gateway_routers", Help: "Routers in the list that this router has read; 0 before the first read."},
 		func() float64 { return float64(o.routers()) })
-	shed := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_gateway_shed_connections_total", Help: "New connections that were closed without reading a request because the processor was overloaded."},
+	shed := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_gateway_shed_connections_total", Help: "New connections whose request was rejected with 503 and not parsed because the processor was overloaded."},
 		func() float64 { return float64(o.shedConnections()) })
 	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.limitChanges, c.heldParts, c.firstByte, c.dials, lines, listed, shed,
 		collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -241,7 +241,7 @@
 	SettingsReloaded: {log.InfoLevel, "settings reloaded", "The process received SIGHUP and read its settings file again. An `error` means that it keeps the old settings.",
 		"Correct the file when there is an error."},
 	ProcessStatus: {log.InfoLevel, "process status",
-		"The resources of the process: connections from callers, streams, idle connections to backend servers, heap and garbage collector. `processorWait` is the time within which nine of ten goroutines got the processor, `firstReadWait` the mean time from the accept of a connection to its first bytes, `shed` the number of connections that were closed unread because of overload.",
+		"The resources of the process: connections from callers, streams, idle connections to backend servers, heap and garbage collector. `processorWait` is the time within which nine of ten goroutines got the processor, `firstReadWait` the mean time from the accept of a connection to its first bytes, `shed` the number of connections that were rejected with 503 and not parsed because of overload.",
 		"When `callers` or `heap` approach the limits of the settings, or `processorWait` stays above 0.2 s, the instance is too small for its share of callers."},
 	EngineSpeed: {log.InfoLevel, "engine speed changed",
 		"The times to the first token show that the engines of a service read prompts in `factor` times the time that `readRate` in the settings implies, or that `first` is the time from the end of reading to the first token. Predictions use the new values.",
