Serve requests that have arrived when a router stops

Callers could see, during a planned stop under load: a request on a connection that was accepted just before was cut off without an answer.

Cause: Shutdown closed all connections of which nothing was read yet, also those whose request waited for the processor, and net/http drops a request that it reads during its own shutdown.

Change: Shutdown first waits, at most 2 s, until the requests that have arrived on new connections have reached the handler. A new connection has 100 ms for its request; others without one are closed. Connections that no http.Server took are answered with 503.

--- a/internal/caller/ingress/conn.go
+++ b/internal/caller/ingress/conn.go
@@ -15,6 +15,19 @@
 	accepted time.Time
 	// wasRead is set when the first bytes were read or the connection ended.
 	wasRead atomic.Bool
+	// begun is set when bytes were read. served is set when a request has reached the
+	// handler; only the goroutine of the connection uses it.
+	begun  atomic.Bool
+	served bool
+}
+
+// Read implements io.Reader.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.begun.Load() {
+		c.begun.Store(true)
+	}
+	return n, err
 }
 
 // CloseWrite closes the sending side, so that the caller can read a response
@@ -27,6 +40,13 @@
 	return w.CloseWrite()
 }
 
+// closeUnused closes the connection unless a request has arrived on it.
+func (c *callerConn) closeUnused() {
+	if !c.begun.Load() && c.peek() != peekBytes {
+		_ = c.Close()
+	}
+}
+
 // connListener passes accepted connections to the http.Server of one set of
 // limits.
 type connListener struct {
--- a/internal/caller/ingress/disconnected.go
+++ b/internal/caller/ingress/disconnected.go
@@ -30,26 +30,44 @@
 	if !ok {
 		return false
 	}
+	return c.peek() == peekClosed
+}
+
+// peekResult is what a connection has to read.
+type peekResult int
+
+const (
+	peekNothing peekResult = iota
+	peekBytes
+	peekClosed
+)
+
+// peek reports what the next read would find, without waiting for it and without
+// reading. A connection without a socket is taken for an open one.
+func (c *callerConn) peek() peekResult {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return peekNothing
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return peekClosed
 	}
-	closed := false
+	result := peekNothing
 	// Control does not wait for the concurrent read of net/http.
 	err = raw.Control(func(fd uintptr) {
 		var next [1]byte
 		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
-		case err == nil:
-			closed = n == 0
+		case err == nil && n > 0:
+			result = peekBytes
 		case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
 		default:
-			closed = true
+			result = peekClosed
 		}
 	})
-	return closed || err != nil
+	if err != nil {
+		return peekClosed
+	}
+	return result
 }
--- a/internal/caller/ingress/server.go
+++ b/internal/caller/ingress/server.go
@@ -36,6 +36,13 @@
 	// http.Server. With a queue, the accept loop need not wait until the
 	// goroutine of the server is scheduled for each connection.
 	maxQueuedConns = 256
+	// firstRequestWait bounds the time for which a shutdown waits for first requests
+	// that have arrived, shutdownInterval is the time between two checks.
+	firstRequestWait = 2 * time.Second
+	shutdownInterval = 10 * time.Millisecond
+	// newConnGrace is how long a new connection may stay without a request at a
+	// shutdown: that of a caller which has just opened it is on its way.
+	newConnGrace = 100 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 5 * time.Millisecond
 )
@@ -59,6 +66,8 @@
 	// http.Server that stopped.
 	AcceptFailed func(err error)
 
+	// rejecter is set by Serve, before the first http.Server.
+	rejecter  *rejecter
 	openConns atomic.Int64
 	shedConns atomic.Int64
 	// firstReads and firstReadWait are the results of FirstReads.
@@ -68,17 +77,20 @@
 	mu      sync.Mutex
 	current *connListener
 	servers []*http.Server
-	// unread holds the connections of which nothing was read yet.
-	unread  map[*callerConn]struct{}
+	// unserved holds the connections whose first request has not reached Handler.
+	unserved map[*callerConn]struct{}
+	// stopped is set when Shutdown is called, closing when it no longer waits for first
+	// requests.
 	stopped bool
+	closing bool
 }
 
 // Serve accepts connections until the listener is closed, and then returns nil.
 // Other errors of Accept are passed to AcceptFailed and accepting is retried,
 // unless Shutdown has been called.
 func (s *Server) Serve(l net.Listener) error {
+	s.rejecter = newRejecter(s.RejectionHeader)
 	s.SetLimits(galenalatch.CallerLimits{})
-	rejecter := newRejecter(s.RejectionHeader)
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -97,7 +109,7 @@
 		}
 		if s.Admit != nil && !s.Admit() {
 			s.shedConns.Add(1)
-			rejecter.reject(c)
+			s.rejecter.reject(c)
 			continue
 		}
 		s.mu.Lock()
@@ -148,9 +160,7 @@
 	for {
 		select {
 		case c := <-g.conns:
-			// No request was read from the connection, so the caller may safely
-			// send it again.
-			_ = c.Close()
+			s.rejecter.reject(c)
 		default:
 			return
 		}
@@ -163,33 +173,38 @@
 	k := c.(*callerConn)
 	if state == http.StateNew {
 		s.openConns.Add(1)
-		s.addUnread(k)
+		s.addUnserved(k)
 		return
 	}
 	if !k.wasRead.Swap(true) {
 		s.firstReads.Add(1)
 		s.firstReadWait.Add(int64(time.Since(k.accepted)))
-		s.mu.Lock()
-		delete(s.unread, k)
-		s.mu.Unlock()
 	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		s.openConns.Add(-1)
+		s.removeUnserved(k)
 	}
 }
 
-// addUnread records a new connection, or closes it after Shutdown.
-func (s *Server) addUnread(c *callerConn) {
+// addUnserved records a new connection, or closes it if it has no request when Shutdown
+// no longer waits for one.
+func (s *Server) addUnserved(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
-		_ = c.Close()
+	if s.closing {
+		c.closeUnused()
 		return
 	}
-	if s.unread == nil {
-		s.unread = make(map[*callerConn]struct{})
+	if s.unserved == nil {
+		s.unserved = make(map[*callerConn]struct{})
 	}
-	s.unread[c] = struct{}{}
+	s.unserved[c] = struct{}{}
+}
+
+func (s *Server) removeUnserved(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.unserved, c)
 }
 
 // OpenConnections returns the number of open connections.
@@ -205,6 +220,10 @@
 	if s.MaxConnections > 0 && float64(s.openConns.Load()) > closeThreshold*float64(s.MaxConnections) {
 		w.Header().Set("Connection", "close")
 	}
+	if c, ok := r.Context().Value(connectionKey{}).(*callerConn); ok && !c.served {
+		c.served = true
+		s.removeUnserved(c)
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
@@ -214,19 +233,49 @@
 	return s.firstReads.Load(), time.Duration(s.firstReadWait.Load())
 }
 
+// closeUnused closes the connections without a request that are older than age, whose
+// callers may safely send their requests again. It returns the number of connections
+// whose first request has not reached Handler.
+func (s *Server) closeUnused(age time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.unserved {
+		if time.Since(c.accepted) >= age {
+			c.closeUnused()
+		}
+	}
+	return len(s.unserved)
+}
+
+// awaitFirstRequests waits until the requests that have arrived on new connections have
+// reached Handler: net/http drops those that it reads during its own shutdown.
+func (s *Server) awaitFirstRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstRequestWait)
+	defer cancel()
+	t := time.NewTicker(shutdownInterval)
+	defer t.Stop()
+	for s.closeUnused(newConnGrace) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // Shutdown stops accepting, closes the connections without a request and waits
 // until all answers have been sent. If ctx ends first, it closes the remaining
-// connections and returns an error.
+// connections and returns an error. It is called after the listener was closed.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopped = true
 	servers := s.servers
-	for c := range s.unread {
-		// net/http would wait for their requests. The callers may safely send
-		// these again.
-		_ = c.Close()
-	}
 	s.mu.Unlock()
+	s.awaitFirstRequests(ctx)
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	s.closeUnused(0)
 	var failed error
 	for _, h := range servers {
 		if err := h.Shutdown(ctx); err != nil {
