End a request or a peer connection, not the router, on a panic

Callers and operators could see: a defect that one request meets keeps its place at a server for good, and the log says nothing by its id. A message of a peer that makes its handler panic ends every router that dialled.

Cause: net/http recovers a panic of a handler, without the router's state; sessions that a router dialled run in a goroutine without any recovery.

Change: the reservation is released, the connection closed, event 8009 with the place in the code and a counter written. A panic in the handling of a peer's frame ends the connection, which 7002 tells.

--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -36,6 +36,8 @@
 	table     *placement.Table
 	view      *view.View
 	refuseAll bool
+	// admitHook, if set, is called before each admission.
+	admitHook func()
 	// beforeDial, if set, is called before a connection to a server is opened.
 	beforeDial func(address string)
 	// fixedRetries is the fixed part of the retry budget.
@@ -93,6 +95,9 @@
 func (r *recorder) LimitInvalid(s galenalatch.ServerID, value string) {
 	r.add("invalid limit %s %s", s, value)
 }
+func (r *recorder) Panicked(id galenalatch.RequestID, _ Decision, err error) {
+	r.add("panicked %s: %v", id, err)
+}
 func (r *recorder) Ended(id galenalatch.RequestID, _ Decision, status int, err error) {
 	r.add("ended %s %d", id, status)
 }
@@ -135,7 +140,7 @@
 		}),
 		NewBudget:    func() *budget.Budget { return &budget.Budget{Window: 10 * time.Second} },
 		FixedRetries: func() float64 { return f.fixedRetries },
-		Admit:        func(time.Time, AdmissionRequest) (share.Fractions, bool) { return share.Fractions{}, !f.refuseAll },
+		Admit:        f.admit,
 		Ledger:       share.New(4 * time.Second),
 		Quarantine: quarantine.New(quarantine.Options{
 			Owner: func(uint64) bool { return false },
@@ -178,6 +183,13 @@
 	f.store.Register(galenalatch.Registration{ID: id, Service: service, Address: s.Address(), DataCentre: "a", Slots: 4})
 }
 
+func (f *fixture) admit(time.Time, AdmissionRequest) (share.Fractions, bool) {
+	if f.admitHook != nil {
+		f.admitHook()
+	}
+	return share.Fractions{}, !f.refuseAll
+}
+
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if f.beforeDial != nil {
 		f.beforeDial(address)
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -86,7 +86,8 @@
 // after each attempt. Its status is 0 if the attempt succeeded or no response was
 // received. Refused is called when a request is refused; it has not run. Ended is
 // called when any other request ends, with the final status, or 0 if the
-// connection of the caller was closed.
+// connection of the caller was closed. Panicked is called instead when a defect of the
+// router ended it.
 //
 // LimitChanged is called when a server names another limit than before, or none any
 // more, and LimitInvalid when it names a value that cannot be used.
@@ -95,6 +96,7 @@
 	Attempted(r galenalatch.RequestID, d Decision, status int, err error)
 	Refused(r galenalatch.RequestID, d Decision, err error)
 	Ended(r galenalatch.RequestID, d Decision, status int, err error)
+	Panicked(r galenalatch.RequestID, d Decision, err error)
 	LimitChanged(s galenalatch.ServerID, named bool, rate float64)
 	LimitInvalid(s galenalatch.ServerID, value string)
 }
@@ -179,6 +181,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	t := &transaction{h: h, w: w, r: r, arrival: time.Now(), path: rawPath(r)}
+	defer t.recoverPanic()
 	if err := t.accept(); err != nil {
 		t.refuse(err)
 		return
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +71,8 @@
 	trial bool
 	// headSent is set once the head of a response was sent to the caller.
 	headSent bool
+	// reservation is the place at a server that the request holds, if any.
+	reservation *placement.Reservation
 }
 
 // hashID returns a hash that is the same on all routers.
@@ -119,6 +124,7 @@
 	if !ok {
 		return nil, galenalatch.KindServerUnreachable.Errorf("no server of service %s can take the request", t.decision.Service)
 	}
+	t.reservation = p
 	t.decision.Server, t.decision.Wait, t.decision.Prefill, t.decision.Overhead = p.Server, p.Wait, p.Prefill, p.Overhead
 	t.decision.Cached, t.decision.Cold = p.Cached, p.Cold
 	request := AdmissionRequest{
@@ -129,7 +135,7 @@
 		fractions, ok := t.h.Admit(now, request)
 		t.decision.Fractions = fractions
 		if !ok {
-			t.h.Table.Release(now, p, placement.Unsent)
+			t.release(now, placement.Unsent)
 			return nil, galenalatch.KindQueueFull.Errorf("the first token is predicted after %s", p.Wait.Round(time.Millisecond))
 		}
 	}
@@ -141,6 +147,45 @@
 	return p, nil
 }
 
+// release ends the reservation of the request.
+func (t *transaction) release(now time.Time, r placement.Result) {
+	t.h.Table.Release(now, t.reservation, r)
+	t.reservation = nil
+}
+
+// recoverPanic ends a request in which the router panicked, and closes its connection:
+// what the caller has received so far is unknown. A deferred call of it must be direct.
+func (t *transaction) recoverPanic() {
+	e := recover()
+	if e == nil {
+		return
+	}
+	if e != http.ErrAbortHandler {
+		if t.reservation != nil {
+			t.release(time.Now(), placement.Cancelled)
+		}
+		t.h.Events.Panicked(t.call.ID, t.decision, fmt.Errorf("%v at %s", e, panicSource()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// panicSource returns the file and line of the newest panic.
+func panicSource() string {
+	var callers [16]uintptr
+	frames := runtime.CallersFrames(callers[:runtime.Callers(1, callers[:])])
+	panicking := false
+	for {
+		f, more := frames.Next()
+		if panicking && !strings.HasPrefix(f.Function, "runtime.") {
+			return fmt.Sprintf("%s:%d", f.File, f.Line)
+		}
+		panicking = panicking || f.Function == "runtime.gopanic"
+		if !more {
+			return "unknown"
+		}
+	}
+}
+
 // recordResult records the result of an attempt in the table and in the log.
 func (t *transaction) recordResult(ctx context.Context, p *placement.Reservation, err error) {
 	result, status := placement.Served, 0
@@ -164,7 +209,7 @@
 		result = placement.Broken
 		t.recordInterruption(ctx, p)
 	}
-	t.h.Table.Release(time.Now(), p, result)
+	t.release(time.Now(), result)
 	t.h.Events.Attempted(t.call.ID, t.decision, status, err)
 }
 
--- a/internal/peer/link/mesh_test.go
+++ b/internal/peer/link/mesh_test.go
@@ -54,6 +54,35 @@
 	})
 }
 
+// Guards against a message that ends the process of every router which handles it: a
+// panic ends the connection only.
+func TestPanicInHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		received := make(map[galenalatch.RouterID]int)
+		_, a, b := startPair(t, func(o *Options) {
+			o.Handle = func(r galenalatch.RouterID, _ galenalatch.Message) {
+				if received[r]++; received[r] == 1 {
+					panic("unexpected")
+				}
+			}
+		})
+		// First the message is handled where the connection was accepted, then where
+		// it was dialled.
+		assert.Assert(t, a.Send("b", changesAsk(1)))
+		synctest.Wait()
+		assert.DeepEqual(t, b.takeEvents(), []string{"up a s1", "down a"})
+		wait(10 * time.Second)
+		assert.Assert(t, a.Send("b", changesAsk(2)))
+		synctest.Wait()
+		assert.Assert(t, b.Send("a", changesAsk(3)))
+		synctest.Wait()
+		wait(10 * time.Second)
+		assert.Assert(t, b.Send("a", changesAsk(4)))
+		synctest.Wait()
+		assert.DeepEqual(t, received, map[galenalatch.RouterID]int{"a": 2, "b": 2})
+	})
+}
+
 // Guards against two connections for one pair of routers that dial each other
 // at the same time, and against a pair that closes both.
 func TestSimultaneousDial(t *testing.T) {
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
@@ -90,7 +91,6 @@
 }
 
 func (s *session) read() error {
-	m := s.peer.mesh
 	for {
 		_, b, err := s.conn.Read(s.ctx)
 		if err != nil {
@@ -99,20 +99,34 @@
 		if s.peer.blocked.Load() {
 			continue
 		}
-		messages, err := m.codec.DecodeFrame(b)
-		if err != nil {
+		if err := s.handle(b); err != nil {
 			return err
 		}
-		if len(messages) > 0 {
-			s.markUsed()
+	}
+}
+
+// handle handles the messages of one frame. A panic ends the connection and not the
+// process: the peer may send the same frame to every router.
+func (s *session) handle(frame []byte) (err error) {
+	defer func() {
+		if e := recover(); e != nil {
+			err = fmt.Errorf("handling a message panicked: %v", e)
 		}
-		for _, g := range messages {
-			if _, ok := g.(galenalatch.Hello); ok {
-				return errors.New("unexpected second hello")
-			}
-			m.Handle(s.peer.id, g)
+	}()
+	messages, err := s.peer.mesh.codec.DecodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	if len(messages) > 0 {
+		s.markUsed()
+	}
+	for _, g := range messages {
+		if _, ok := g.(galenalatch.Hello); ok {
+			return errors.New("unexpected second hello")
 		}
+		s.peer.mesh.Handle(s.peer.id, g)
 	}
+	return nil
 }
 
 // loop writes the queued messages, and an empty frame as a heartbeat when
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -28,7 +28,9 @@
 	limitChanges prometheus.Counter
 	heldParts    prometheus.Gauge
 	firstByte    *prometheus.HistogramVec
-	dials        prometheus.Counter
+	// panics counts requests that a defect of the router ended.
+	panics prometheus.Counter
+	dials  prometheus.Counter
 }
 
 // counters are the values that other parts of the gateway count.
@@ -46,6 +48,7 @@
 		limitChanges:  prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_limit_changes_total", Help: "Changes of the limits that backend servers name in their answers."}),
 		heldParts:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "galenalatch_gateway_held_parts", Help: "Prompt parts that are held back because servers crashed on them."}),
 		firstByte:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galenalatch_gateway_first_piece_seconds", Help: "Time from the arrival of a request to the first piece of its answer, by service.", Buckets: firstByteBuckets}, []string{"service"}),
+		panics:        prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_panics_total", Help: "Requests that a defect of the router ended."}),
 		dials:         prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_dials_total", Help: "New connections to backend servers."}),
 	}
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_log_lines_dropped_total", Help: "Log lines that were not written."},
@@ -54,7 +57,7 @@
 		func() float64 { return float64(o.routers()) })
 	shed := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_gateway_shed_connections_total", Help: "New connections whose request was rejected with 503 and not parsed because the processor was overloaded."},
 		func() float64 { return float64(o.shedConnections()) })
-	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.limitChanges, c.heldParts, c.firstByte, c.dials, lines, listed, shed,
+	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.limitChanges, c.heldParts, c.firstByte, c.panics, c.dials, lines, listed, shed,
 		collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return c
 }
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -103,6 +103,12 @@
 	o.metrics.refusals.WithLabelValues(string(galenalatch.KindOf(err))).Inc()
 }
 
+// Panicked implements host.Events.
+func (o observer) Panicked(r galenalatch.RequestID, d host.Decision, err error) {
+	o.log.Event(events.RequestPanicked, "request", r, "route", d.Route, "workspace", d.Workspace, "server", d.Server, "error", err)
+	o.metrics.panics.Inc()
+}
+
 // Ended implements host.Events.
 func (o observer) Ended(r galenalatch.RequestID, d host.Decision, status int, err error) {
 	if err == nil {
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -63,6 +63,7 @@
 	PartReleased           Number = 8006
 	LimitChanged           Number = 8007
 	LimitInvalid           Number = 8008
+	RequestPanicked        Number = 8009
 	ConfigurationApplied   Number = 8101
 	DataCentreOutOfService Number = 8102
 	DataCentreReturned     Number = 8103
@@ -223,6 +224,9 @@
 		"When many servers name limits for long, the service needs more servers."},
 	LimitInvalid: {log.WarnLevel, "server limit invalid", "A backend server named a limit that is no decimal number. It counts as no limit.",
 		"Tell the owner of the service."},
+	RequestPanicked: {log.ErrorLevel, "request panicked",
+		"A defect of the router ended a request, whose connection was closed; `error` names the place in the code. Other requests go on.",
+		"Report the line to the developers. When it repeats, look for what its requests have in common."},
 	ConfigurationApplied: {log.InfoLevel, "configuration applied",
 		"A newer version of the configuration replaced the previous one.", none},
 	DataCentreOutOfService: {log.InfoLevel, "data centre out", "Operators took a data centre out of service. Its backend servers get no new requests.", none},
@@ -241,7 +245,7 @@
 	SettingsReloaded: {log.InfoLevel, "settings reloaded", "The process received SIGHUP and read its settings file again. An `error` means that it keeps the old settings.",
 		"Correct the file when there is an error."},
 	ProcessStatus: {log.InfoLevel, "process status",
-		"The resources of the process: connections from callers, streams, idle connections to backend servers, heap and garbage collector. `processorWait` is the time within which nine of ten goroutines got the processor, `firstReadWait` the mean time from the accept of a connection to its first bytes, `shed` the number of connections that were rejected with 503 and not parsed because of overload.",
+		"The resources of the process: connections from callers, streams, idle connections to backend servers, heap and garbage collector. `processorWait` is the time within which nine of ten goroutines got the processor, `firstReadWait` the mean time from the accept of a connection to its first bytes, `shed` the number of connections whose requests were rejected unparsed because of overload.",
 		"When `callers` or `heap` approach the limits of the settings, or `processorWait` stays above 0.2 s, the instance is too small for its share of callers."},
 	EngineSpeed: {log.InfoLevel, "engine speed changed",
 		"The times to the first token show that the engines of a service read prompts in `factor` times the time that `readRate` in the settings implies, or that `first` is the time from the end of reading to the first token. Predictions use the new values.",
