Let deadlines and route timeouts above a minute count

Callers could see: a slow but sound stream was cut after a minute although its deadline and the timeout of its route allow more.

Cause: the limit for requests without either bounded all others as well.

Change: it applies only without a deadline and a timeout.

--- a/internal/caller/host/accept.go
+++ b/internal/caller/host/accept.go
@@ -12,9 +12,23 @@
 )
 
 // defaultTimeLimit applies to requests without a deadline on routes without a
-// timeout, and bounds all others.
+// timeout.
 const defaultTimeLimit = time.Minute
 
+// timeLimit returns the time within which a request must be answered, from the deadline
+// of its caller and the timeout of its route, of which either may be 0.
+func timeLimit(deadline, timeout time.Duration) time.Duration {
+	switch {
+	case deadline <= 0 && timeout <= 0:
+		return defaultTimeLimit
+	case deadline <= 0:
+		return timeout
+	case timeout <= 0:
+		return deadline
+	}
+	return min(deadline, timeout)
+}
+
 // accept checks the request, finds its route and reads its body.
 func (t *transaction) accept() error {
 	call, err := t.h.Headers.Call(t.r.Header)
@@ -29,12 +43,7 @@
 		return err
 	}
 	t.h.withBudget(t.decision.Service, func(b *budget.Budget) bool { b.CountRequest(t.arrival); return true })
-	t.timeLimit = defaultTimeLimit
-	for _, d := range []time.Duration{t.call.Deadline, t.route.Timeout} {
-		if d > 0 {
-			t.timeLimit = min(t.timeLimit, d)
-		}
-	}
+	t.timeLimit = timeLimit(t.call.Deadline, t.route.Timeout)
 	if t.route.Kind == galenalatch.StreamWork {
 		t.decision.Tokens = float64(t.call.PromptTokens + 2*t.call.MaxOutputTokens)
 		t.h.Ledger.Add(t.arrival, t.decision.Workspace, share.Usage{Requested: t.decision.Tokens})
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -61,6 +61,10 @@
 	EndlessBody Behaviour = "endless body"
 	// EndlessUnsealed is EndlessBody without the seal header.
 	EndlessUnsealed Behaviour = "endless unsealed body"
+	// Trickle runs the request and then sends a space now and then, without end.
+	Trickle Behaviour = "trickle"
+	// TrickleComments is Trickle with comments of an event stream.
+	TrickleComments Behaviour = "trickle of comments"
 	// EndlessRejection rejects the request like RejectNotRun, with a body
 	// without end that arrives slowly.
 	EndlessRejection Behaviour = "endless rejection"
@@ -333,6 +337,10 @@
 		return s.writeEndless(c, "HTTP/1.1 200 OK\r\n"+header+"\r\n", endlessPiece, 0)
 	case EndlessUnsealed:
 		return s.writeEndless(c, "HTTP/1.1 200 OK\r\n"+s.headerNames.Request+": "+id+"\r\n\r\n", endlessPiece, 0)
+	case Trickle:
+		return s.writeEndless(c, "HTTP/1.1 200 OK\r\n"+header+"\r\n", " ", trickleInterval)
+	case TrickleComments:
+		return s.writeEndless(c, "HTTP/1.1 200 OK\r\n"+header+"\r\n", ": still here\n\n", trickleInterval)
 	case EndlessRejection:
 		return s.writeEndless(c, "HTTP/1.1 503 Service Unavailable\r\n"+s.headerNames.Request+": "+id+"\r\n"+s.headerNames.NotRun+": 1\r\n\r\n", "x", 5*time.Millisecond)
 	case EndUnframed:
@@ -360,6 +368,9 @@
 	return err == nil
 }
 
+// trickleInterval is the time between two pieces of a response that trickles.
+const trickleInterval = 20 * time.Millisecond
+
 // endlessPiece is repeated in responses without end.
 var endlessPiece = strings.Repeat("x", 32<<10)
 
