Bound what a request can announce about its prompt

Callers could see: after one request with an absurd number of tokens, or several, all requests of a router go to one server, or shares of workspaces are wrong on all routers.

Cause: the predicted time to read a prompt overflowed. The server looked free (predicted after 50 ms for 2^40 tokens), and the sum of tokens in messages between routers wrapped.

Change: prefill times are at most an hour, sums of tokens at most 2^40, and an engine is not assumed to keep more tokens than its memory holds; the tokens of a workspace saturate in messages, and one such prompt does not change the mean of its route.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -32,6 +32,10 @@
 	// lists.
 	coldOwners     = 2
 	coldOwnerShare = 0.2
+	// maxPrefillTime and maxPromptTokens bound what a request can announce, so that
+	// sums of times and tokens do not overflow.
+	maxPrefillTime  = time.Hour
+	maxPromptTokens = 1 << 40
 	// maxRemoteAge is the age from which on the load of another router is
 	// ignored.
 	maxRemoteAge = time.Second
@@ -199,7 +203,11 @@
 		if preferred && len(a.Prompt) > 1 {
 			// Other routers send requests with the same shared parts to the
 			// preferred server too.
-			e.cached = max(e.cached, sharedTokens(a.Prompt))
+			shared := sharedTokens(a.Prompt)
+			if memory := t.settings[a.Service].CacheTokens; memory > 0 {
+				shared = min(shared, memory)
+			}
+			e.cached = max(e.cached, shared)
 		}
 		e.cached = min(e.cached, total)
 		backlog := s.backlog(now) + s.remote.Prefill
@@ -231,7 +239,7 @@
 	for _, part := range a.Prompt {
 		total = max(total, part.Tokens)
 	}
-	return total
+	return min(total, maxPromptTokens)
 }
 
 // sharedTokens returns the number of tokens of all parts but the last, which is
@@ -239,7 +247,7 @@
 func sharedTokens(parts []galenalatch.PromptPart) int {
 	tokens := 0
 	for _, part := range parts[:len(parts)-1] {
-		tokens += part.Tokens
+		tokens = min(tokens+min(part.Tokens, maxPromptTokens), maxPromptTokens)
 	}
 	return tokens
 }
@@ -249,7 +257,8 @@
 // since each token attends to all tokens before it.
 func (t *Table) prefillTime(total, fresh int) time.Duration {
 	pairs := float64(fresh) * (float64(total) - float64(fresh)/2)
-	return time.Duration(float64(fresh)/t.PrefillRate*float64(time.Millisecond)) + time.Duration(pairs/1e6*float64(attentionTime))
+	d := float64(fresh)/t.PrefillRate*float64(time.Millisecond) + pairs/1e6*float64(attentionTime)
+	return time.Duration(min(d, float64(maxPrefillTime)))
 }
 
 // allowCold reports whether this router may send one more request to a cold
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -121,7 +121,7 @@
 		if !s.cache.Contains(k) {
 			break
 		}
-		tokens += parts[i].Tokens
+		tokens = min(tokens+min(parts[i].Tokens, maxPromptTokens), maxPromptTokens)
 	}
 	return tokens
 }
--- a/internal/peer/load/received.go
+++ b/internal/peer/load/received.go
@@ -146,11 +146,11 @@
 	}
 	for k, u := range t.workspaces {
 		m.Workspaces = append(m.Workspaces, galenalatch.WorkspaceUsage{
-			Workspace: k, Requested: uint32(u.Requested / tokenUnit), Started: uint32(u.Started / tokenUnit),
+			Workspace: k, Requested: tokenUnits(u.Requested), Started: tokenUnits(u.Started),
 		})
 	}
 	aggregate := galenalatch.OtherUsage{
-		Count: uint32(t.aggregate.Count), Requested: uint32(t.aggregate.Requested / tokenUnit), Started: uint32(t.aggregate.Started / tokenUnit),
+		Count: uint32(t.aggregate.Count), Requested: tokenUnits(t.aggregate.Requested), Started: tokenUnits(t.aggregate.Started),
 	}
 	if len(m.Workspaces) > maxWorkspaces {
 		slices.SortFunc(m.Workspaces, func(a, b galenalatch.WorkspaceUsage) int {
@@ -172,6 +172,12 @@
 	return m
 }
 
+// tokenUnits returns tokens in units of a message. Callers announce them without an
+// upper bound.
+func tokenUnits(tokens float64) uint32 {
+	return uint32(min(max(tokens/tokenUnit, 0), math.MaxUint32))
+}
+
 func clampUint16(n int) uint16 {
 	return uint16(min(max(n, 0), math.MaxUint16))
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -214,7 +214,8 @@
 		return share.Fractions{}, true
 	}
 	fractions := g.ledger.Fractions(now, d.Workspace, d.TokenRate)
-	mean := g.prefills.Add(d.Route.Name, d.Prefill)
+	// A request that announces an absurd prompt must not change the mean.
+	mean := g.prefills.Add(d.Route.Name, min(d.Prefill, d.Route.TargetLatency))
 	return fractions, g.policy.Admit(admission.Request{
 		TargetLatency: d.Route.TargetLatency, TimeLimit: d.TimeLimit, Waited: d.Waited, Wait: d.Wait, Prefill: d.Prefill, MeanPrefill: mean,
 		Overhead: d.Overhead, Spare: d.Spare, Fractions: fractions,
