--- a/internal/caller/host/slow_stream_test.go
+++ b/internal/caller/host/slow_stream_test.go
@@ -29,16 +29,23 @@
 	}
 }
 
-// Guards against a slow but sound stream that is cut although its time limit has not
-// passed: its pauses are longer than any time limit of a connection.
+// Guards against a slow but sound stream that is cut, or started again at another
+// server, although its time limit has not passed: its pauses are longer than any time
+// limit of a connection.
 func TestSlowStreamIsComplete(t *testing.T) {
-	f := newFixture(t, configuration())
-	for _, s := range f.servers {
-		s.Gap = 1500 * time.Millisecond
+	for _, path := range []string{"/stream/once/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, configuration())
+			for _, s := range f.servers {
+				s.Gap = 1500 * time.Millisecond
+			}
+			a := f.call(t.Context(), "POST", path, "r-1", "", headers.Deadline, "10s")
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n")
+			assert.Equal(t, f.runs("r-1"), 1)
+		})
 	}
-	a := f.call(t.Context(), "POST", "/stream/once/1", "r-1", "", headers.Deadline, "10s")
-	assert.NilError(t, a.err)
-	assert.Equal(t, a.body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n")
 }
 
 // Guards against a limit of the router that cuts a slow but sound stream, or that lets a
