Take back the tokens of requests that no server began

Cause: tokens counted as started when a server was chosen, and stayed when the request could not be sent or was rejected unrun. A router without processor time fails to send many, and its workspaces used up their shares with them. The class is that of reservations that are not given back; permits of cold servers and of named limits are. Ruled out: old reports, all zones agree on the figures.

Change: the tokens are taken back from the time at which they were counted.

--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,11 +36,14 @@
 	events    *recorder
 	table     *placement.Table
 	view      *view.View
+	ledger    *share.Ledger
 	refuseAll bool
 	// admitHook, if set, is called before each admission.
 	admitHook func()
 	// beforeDial, if set, is called before a connection to a server is opened.
 	beforeDial func(address string)
+	// refuseDials makes all connections to servers fail.
+	refuseDials bool
 	// fixedRetries is the fixed part of the retry budget.
 	fixedRetries float64
 }
@@ -127,7 +131,7 @@
 	t.Helper()
 	f := &fixture{fixedRetries: 100, store: store.New(), events: &recorder{}}
 	table := placement.New(placement.Options{Self: "r1", Local: "a", PrefillRate: 50, ColdRateFactor: 1.5, ColdSlack: 5})
-	f.table = table
+	f.table, f.ledger = table, share.New(4*time.Second)
 	start := time.Now()
 	f.view = view.New(view.Options{
 		Store: f.store, Table: table, Clock: func() time.Duration { return time.Since(start) }, Events: f.events,
@@ -141,7 +145,7 @@
 		NewBudget:    func() *budget.Budget { return &budget.Budget{Window: 10 * time.Second} },
 		FixedRetries: func() float64 { return f.fixedRetries },
 		Admit:        f.admit,
-		Ledger:       share.New(4 * time.Second),
+		Ledger:       f.ledger,
 		Quarantine: quarantine.New(quarantine.Options{
 			Owner: func(uint64) bool { return false },
 			Held:  func(_ uint64, name string, _ int) { f.events.add("held %s", name) }, Released: func(_ uint64, name string) { f.events.add("released %s", name) },
@@ -194,6 +198,9 @@
 	if f.beforeDial != nil {
 		f.beforeDial(address)
 	}
+	if f.refuseDials {
+		return nil, syscall.ECONNREFUSED
+	}
 	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
 
--- a/internal/caller/host/panic.go
+++ b/internal/caller/host/panic.go
@@ -21,6 +21,7 @@
 		if t.reservation != nil {
 			t.release(time.Now(), placement.Cancelled)
 		}
+		t.takeBackTokens()
 		t.h.Events.Panicked(t.call.ID, t.decision, fmt.Errorf("%v at %s", e, panicSource()))
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -56,6 +56,9 @@
 	trial bool
 	// headSent is set once the head of a response was sent to the caller.
 	headSent bool
+	// startedAt is when the tokens of the request were counted as started. It is zero
+	// for requests that have none.
+	startedAt time.Time
 	// reservation is the place at a server that the request holds, if any.
 	reservation *placement.Reservation
 }
@@ -78,6 +81,7 @@
 			}
 		}
 		if !t.shouldRetry(ctx, err) {
+			t.takeBackTokens()
 			t.finish(ctx, err)
 			return
 		}
@@ -125,6 +129,7 @@
 		}
 	}
 	if t.route.Kind == galenalatch.StreamWork && len(t.tried) == 0 {
+		t.startedAt = now
 		t.h.Ledger.Add(now, t.decision.Workspace, share.Usage{Started: t.decision.Tokens})
 	}
 	t.decision.Attempt = t.attempts + 1
@@ -132,6 +137,15 @@
 	return p, nil
 }
 
+// takeBackTokens undoes the count of started tokens if no server began the request.
+func (t *transaction) takeBackTokens() {
+	if t.startedAt.IsZero() || t.mayHaveRun {
+		return
+	}
+	t.h.Ledger.TakeBack(time.Now(), t.startedAt, t.decision.Workspace, t.decision.Tokens)
+	t.startedAt = time.Time{}
+}
+
 // release ends the reservation of the request.
 func (t *transaction) release(now time.Time, r placement.Result) {
 	t.h.Table.Release(now, t.reservation, r)
--- a/internal/decide/share/account.go
+++ b/internal/decide/share/account.go
@@ -25,6 +25,14 @@
 	bucket.Started += u.Started
 }
 
+// takeBack undoes the start of tokens at an earlier time.
+func (a *account) takeBack(now, at time.Time, tokens float64) {
+	a.recent.takeBack(now, at, tokens)
+	if bucket := a.window.At(now, at); bucket != nil {
+		bucket.Started = max(bucket.Started-tokens, 0)
+	}
+}
+
 // usage returns the usage within the window.
 func (a *account) usage(now time.Time) Usage {
 	var u Usage
--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -111,6 +111,23 @@
 	}
 }
 
+// TakeBack undoes the start at an earlier time of tokens for a workspace: no server
+// began the request. A workspace on a router that fails to send its requests would
+// otherwise use up its share with them.
+func (l *Ledger) TakeBack(now, at time.Time, w galenalatch.WorkspaceName, tokens float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[Key(w)]
+	if !ok || l.total == nil {
+		return
+	}
+	a.takeBack(now, at, tokens)
+	l.total.takeBack(now, at, tokens)
+	if sum, ok := l.sums[Key(w)]; ok {
+		l.sums[Key(w)] = Usage{Requested: sum.Requested, Started: max(sum.Started-tokens, 0)}
+	}
+}
+
 // recordServing records that the fleet served requests at the given time.
 func (l *Ledger) recordServing(at time.Time) {
 	if l.servingSince.IsZero() || at.Before(l.servingSince) {
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -323,3 +323,26 @@
 		})
 	}
 }
+
+// Guards against tokens that are taken back twice, from the wrong time, or that stay in
+// the shares of the fleet.
+func TestTakeBack(t *testing.T) {
+	const window = 4 * time.Second
+	now := time.Unix(1000, 0)
+	l := newLedger(now, window)
+	l.Add(now, "a", Usage{Requested: 1000, Started: 1000})
+	l.Add(now, "b", Usage{Requested: 1000, Started: 1000})
+	later := now.Add(time.Second)
+	l.Add(later, "a", Usage{Requested: 500, Started: 500})
+	assert.Equal(t, l.Fractions(later, "a", 500).OfRate, 1.5)
+	l.TakeBack(later, now, "a", 1000)
+	assert.Equal(t, l.LocalUsage(later)[Key("a")], Usage{Requested: 1500, Started: 500})
+	assert.Equal(t, l.Fractions(later, "a", 500).OfRate, 0.5)
+	assert.Equal(t, l.Fractions(later, "b", 500).OfRate, 1.0)
+	// What was started later stays when the time of the other has left the window.
+	last := now.Add(window + 500*time.Millisecond)
+	assert.Equal(t, l.LocalUsage(last)[Key("a")], Usage{Requested: 500, Started: 500})
+	l.TakeBack(last, now, "a", 1000)
+	assert.Equal(t, l.LocalUsage(last)[Key("a")].Started, 500.0)
+	l.TakeBack(last, now, "unknown", 1000)
+}
--- a/internal/decide/share/recent.go
+++ b/internal/decide/share/recent.go
@@ -32,6 +32,13 @@
 	r.usage.Started += u.Started
 }
 
+// takeBack undoes the start of tokens at an earlier time.
+func (r *recent) takeBack(now, at time.Time, tokens float64) {
+	r.decay(now)
+	left := tokens * math.Exp(-now.Sub(at).Seconds()/recentPeriod.Seconds())
+	r.usage.Started = max(r.usage.Started-left, 0)
+}
+
 // decay reduces the usage to its value at the given time.
 func (r *recent) decay(now time.Time) {
 	if now.After(r.at) {
--- a/internal/decide/window/ring.go
+++ b/internal/decide/window/ring.go
@@ -44,6 +44,16 @@
 	return &r.buckets[r.index%int64(len(r.buckets))]
 }
 
+// At returns the bucket of an earlier time, or nil if it has left the window.
+func (r *Ring[T]) At(now, at time.Time) *T {
+	r.Bucket(now)
+	index := int64(at.Sub(r.start) / r.width)
+	if index < 0 || index > r.index || r.index-index >= int64(len(r.buckets)) {
+		return nil
+	}
+	return &r.buckets[index%int64(len(r.buckets))]
+}
+
 // All returns the buckets of the window in no order.
 func (r *Ring[T]) All(now time.Time) iter.Seq[T] {
 	r.Bucket(now)
