Review: show a request that is cut after SIGTERM on a kept connection

Each change of the callers' limits starts another http.Server, and Shutdown stops them one after the other. While the oldest one waits for its answers, the newer ones take requests on kept connections, which are cut 7.7 s after SIGTERM.

Adds the harness and the stand-in of a worker that the cases share.

--- /dev/null
+++ b/review/harness/fleet.go
@@ -0,0 +1,43 @@
+package harness
+
+import "time"
+
+// Fleet is a small deployment: gateways in front of the workers of its services.
+type Fleet struct {
+	Gateways []*Gateway
+	Workers  []*Worker
+}
+
+// StartFleet starts gateways, which reach the store at an address, and workers of the
+// service pool, with the first version of the configuration.
+func (c *Case) StartFleet(gateways, workers int, store string, idleTimeout time.Duration, workerArgs ...string) (*Fleet, error) {
+	if err := c.Configure(1, idleTimeout); err != nil {
+		return nil, err
+	}
+	f := &Fleet{}
+	for i := range workers {
+		w, err := c.StartWorker(numbered("w", i), "pool", "a", workerArgs...)
+		if err != nil {
+			return nil, err
+		}
+		f.Workers = append(f.Workers, w)
+		if err := c.Register(w, "ready", 0); err != nil {
+			return nil, err
+		}
+	}
+	for i := range gateways {
+		g, err := c.StartGateway(numbered("g", i), "a", store)
+		if err != nil {
+			return nil, err
+		}
+		f.Gateways = append(f.Gateways, g)
+	}
+	for _, g := range f.Gateways {
+		if err := c.AwaitReady(g); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func numbered(prefix string, i int) string { return prefix + string(rune('1'+i)) }
