Review: show a stream that two workers work on at once

After a broken exchange a resumable stream goes on at another worker at once. A worker that does not drop requests when its connection closes still works on it.

The worker stand-in now reads request bodies and answers /-/report.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -72,7 +72,7 @@
 		c.Broken("LOST: the stream that began before the signal ended after %d of %d events: %s", e.Events(), earlyEvents, e)
 	}
 	switch {
-	case late.Status == 0 && !ran(f, "late"):
+	case late.Status == 0 && !f.Workers[0].Ran("late") && !f.Workers[1].Ran("late"):
 		c.Record("the late request was not read: its connection was closed before")
 	case !late.Complete() || late.Events() != lateEvents:
 		c.Broken("LOST: the request that was sent %s after the signal was passed on, and its connection ended after %d of %d events: %s", lateRequest, late.Events(), lateEvents, late)
@@ -91,15 +91,3 @@
 	}
 	return k, nil
 }
-
-// ran reports whether a worker began to run a request.
-func ran(f *harness.Fleet, id string) bool {
-	for _, w := range f.Workers {
-		for _, r := range w.Runs() {
-			if r.What == "runs" && r.ID == id {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -282,6 +283,13 @@
 	return append([]Run(nil), w.runs...)
 }
 
+// Ran reports whether the worker began to run a request.
+func (w *Worker) Ran(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.runs, func(r Run) bool { return r.What == "runs" && r.ID == id })
+}
+
 // Register writes the entry of a worker, as the worker does, and waits for the
 // acknowledgement.
 func (c *Case) Register(w *Worker, state string, coldLeft time.Duration) error {
--- a/review/worker/main.go
+++ b/review/worker/main.go
@@ -4,6 +4,9 @@
 //	events=N&gap=MS    a stream of N events, one each MS milliseconds
 //	bytes=N&gap=MS     N bytes, of which the second half follows MS milliseconds later
 //	unframed=1         the answer has no length and ends with its connection
+//	spoil=N            bytes that are no chunk follow event N, unless the request goes on
+//	                   with a stream; the worker is one of those that work on when their
+//	                   connection is closed
 //
 // It writes a JSON line to its standard output for each request that it runs, with
 // the reason why it ended.
@@ -14,6 +17,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -32,10 +37,11 @@
 	coldUntil time.Time
 	// arrivals are the requests of the last second that arrived while it was cold.
 	arrivals []time.Time
+	running  map[string]bool
 }
 
 func main() {
-	w := &worker{}
+	w := &worker{running: make(map[string]bool)}
 	listen := ""
 	flag.StringVar(&w.id, "id", "", "id of the worker")
 	flag.StringVar(&listen, "listen", "", "address to listen on")
@@ -72,6 +78,9 @@
 		}
 		w.log("health", "", "")
 		return
+	case "/-/report":
+		w.report(rw)
+		return
 	case "/test/cold":
 		w.setCold(r.URL.Query().Get("ms"))
 		return
@@ -85,10 +94,45 @@
 	}
 	w.arrive(id)
 	w.log("runs", id, "")
+	w.setRunning(id, true)
+	defer w.setRunning(id, false)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		w.log("ends", id, err.Error())
+		return
+	}
 	rw.Header().Set("Response-Seal", "seal-"+w.id+"-"+id)
 	w.log("ends", id, answer(rw, r))
 }
 
+// setRunning records that a request begins or ends to run.
+func (w *worker) setRunning(id string, running bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if running {
+		w.running[id] = true
+		return
+	}
+	delete(w.running, id)
+}
+
+// report answers what the worker runs. Each run has its id, the tokens in memory, the
+// events made and the priority; the stand-in does not count the last three.
+func (w *worker) report(rw http.ResponseWriter) {
+	w.mu.Lock()
+	runs := [][]any{}
+	for id := range w.running {
+		runs = append(runs, []any{id, 0, 0, 0})
+	}
+	w.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	// A client that has left gets no report.
+	_ = json.NewEncoder(rw).Encode(map[string]any{
+		"stage": "both", "models": []any{}, "busy": false, "sequence": 1, "waiting": 0, "running": len(runs),
+		"kvUsed": 0, "kvTotal": 493270, "handles": 0, "runs": runs,
+	})
+	w.log("report", "", "")
+}
+
 func (w *worker) coldLeft() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -132,9 +176,14 @@
 	q := r.URL.Query()
 	gap, _ := strconv.Atoi(q.Get("gap"))
 	pause := time.Duration(gap) * time.Millisecond
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	spoil, _ := strconv.Atoi(q.Get("spoil"))
 	write, end := framed(rw, r)
-	if q.Get("unframed") != "" {
+	switch {
+	case q.Get("unframed") != "":
 		write, end = unframed(rw)
+	case spoil > 0 && last == 0:
+		write, end = spoiled(rw, spoil)
 	}
 	if write == nil {
 		return "no connection"
@@ -144,7 +193,6 @@
 		return plain(q.Get("bytes"), pause, write)
 	}
 	events, _ := strconv.Atoi(q.Get("events"))
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= events; i++ {
 		if i > last+1 {
 			time.Sleep(pause)
@@ -186,18 +234,47 @@
 
 // unframed is like framed, for an answer that ends with its connection.
 func unframed(rw http.ResponseWriter) (write func(string) error, end func()) {
-	conn, buffer, err := http.NewResponseController(rw).Hijack()
+	conn, w := hijack(rw, "Connection: close\r\n")
+	if conn == nil {
+		return nil, nil
+	}
+	return func(s string) error {
+		_, _ = w.WriteString(s)
+		return w.Flush()
+	}, func() { _ = conn.Close() }
+}
+
+// spoiled is like framed, for an answer with wrong bytes after a number of writes. Its
+// worker works on when the connection is closed.
+func spoiled(rw http.ResponseWriter, after int) (write func(string) error, end func()) {
+	conn, w := hijack(rw, "Transfer-Encoding: chunked\r\n")
+	if conn == nil {
+		return nil, nil
+	}
+	n := 0
+	return func(s string) error {
+		n++
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(s), s)
+		if n > after {
+			chunk = "no chunk\r\n"
+		}
+		_, _ = w.WriteString(chunk)
+		// The worker does not look at the state of the connection.
+		_ = w.Flush()
+		return nil
+	}, func() { _ = conn.Close() }
+}
+
+// hijack takes over a connection and writes the head of an answer to it.
+func hijack(rw http.ResponseWriter, framing string) (net.Conn, *bufio.Writer) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
 	if err != nil {
 		return nil, nil
 	}
 	w := bufio.NewWriter(conn)
-	_, _ = w.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
 	// A bufio.Writer keeps its first error for Flush.
+	_, _ = w.WriteString("HTTP/1.1 200 OK\r\n" + framing)
 	_ = rw.Header().Write(w)
 	_, _ = w.WriteString("\r\n")
-	_ = buffer.Flush()
-	return func(s string) error {
-		_, _ = w.WriteString(s)
-		return w.Flush()
-	}, func() { _ = conn.Close() }
+	return conn, w
 }
