--- a/review/1/main.go
+++ b/review/1/main.go
@@ -23,6 +23,9 @@
 	afterChange = 5 * time.Second
 	// lateRequest is when the late request is sent, counted from the signal.
 	lateRequest = 4 * time.Second
+	// slowAt is when a client, with SLOW=1, sends a part of a head on a new connection,
+	// counted from the signal. headerTimeoutMs allows 3 s for a head.
+	slowAt = 2300 * time.Millisecond
 	// earlyDeadline and lateDeadline are the timeouts of the routes.
 	earlyDeadline = 12 * time.Second
 	lateDeadline  = 6 * time.Second
@@ -66,7 +69,19 @@
 			return err
 		}
 	}
-	time.Sleep(lateRequest)
+	time.Sleep(slowAt)
+	if os.Getenv("SLOW") == "1" {
+		slow, err := c.Connect(g)
+		if err != nil {
+			return err
+		}
+		defer slow.Close()
+		c.Record("client: sends the first line of a request on a new connection")
+		if err := slow.Write("POST /ask/4 HTTP/1.1\r\n"); err != nil {
+			return err
+		}
+	}
+	time.Sleep(lateRequest - slowAt)
 	late := kept.Do("late", "POST", "/summary/3?events=27&gap=200", lateDeadline)
 	if e := <-early; !e.Complete() || e.Events() != earlyEvents {
 		c.Broken("LOST: the stream that began before the signal ended after %d of %d events: %s", e.Events(), earlyEvents, e)
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -348,6 +348,12 @@
 // Close closes the connection.
 func (k *Connection) Close() { _ = k.conn.Close() }
 
+// Write sends a part of a request.
+func (k *Connection) Write(s string) error {
+	_, err := k.conn.Write([]byte(s))
+	return err
+}
+
 // Answer is what a client got for a request. Err is set if it got no complete answer;
 // Status is 0 if it got no head.
 type Answer struct {
