--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -138,14 +139,27 @@
 	}
 }
 
-// FreeAddress returns a loopback address on which nothing listens.
+// Ports are below the range of outgoing connections, which could take one between its
+// choice and its use.
+const (
+	firstPort = 15000
+	portCount = 15000
+)
+
+// nextPort is the port to try next, counted from firstPort.
+var nextPort = rand.IntN(portCount)
+
+// FreeAddress returns a loopback address on which nothing listens. It is not safe for
+// concurrent use.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		address := fmt.Sprint("127.0.0.1:", firstPort+nextPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // Gateway is a gateway process.
