--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -1,6 +1,9 @@
 package harness
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Fleet is a small deployment: gateways in front of the workers of its services.
 type Fleet struct {
@@ -41,3 +44,30 @@
 }
 
 func numbered(prefix string, i int) string { return prefix + string(rune('1'+i)) }
+
+// Warm makes short, sound requests on a new connection to a gateway, n for each worker, so
+// that a disruption of one answer is a small share of the answers.
+func (c *Case) Warm(f *Fleet, g *Gateway, n int) error {
+	k, err := c.Connect(g)
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	for i := range n * len(f.Workers) {
+		if a := k.Do(fmt.Sprint("warm", i), "POST", "/ask/0?events=1", 5*time.Second); !a.Complete() {
+			return fmt.Errorf("%w: %s", ErrSetup, a)
+		}
+	}
+	return nil
+}
+
+// Answers returns how many requests a worker began to run.
+func (w *Worker) Answers() int {
+	n := 0
+	for _, r := range w.Runs() {
+		if r.What == "runs" {
+			n++
+		}
+	}
+	return n
+}
