End the connections of all limits together at a planned stop

Callers saw answers that broke off at the drain limit: 4 s after SIGTERM a gateway still took a request on a kept connection, passed it on and cut it.

Cause: Shutdown called http.Server.Shutdown for one set of limits after the other. The first waited for its running answers, and the servers of later limits kept their idle connections meanwhile. Before that, waiting for first requests of new connections kept all idle connections open for up to 2 s.

Change: one loop of ingress.Server owns the end of all connections. It closes those that wait for a request, whatever limits they have, until none is left. Requests that are read later than 0.5 s after the listener was closed are refused with 503; net/http dropped them. "drain ended" counts these and the connections that were cut.

--- a/internal/caller/ingress/conn.go
+++ b/internal/caller/ingress/conn.go
@@ -15,17 +15,24 @@
 	accepted time.Time
 	// wasRead is set when the first bytes were read or the connection ended.
 	wasRead atomic.Bool
-	// begun is set when bytes were read. served is set when a request has reached the
-	// handler; only the goroutine of the connection uses it.
-	begun  atomic.Bool
-	served bool
+	// waiting is set while no byte of the next request was read.
+	waiting atomic.Bool
 }
 
+func newCallerConn(c net.Conn) *callerConn {
+	k := &callerConn{Conn: c, accepted: time.Now()}
+	k.awaitRequest()
+	return k
+}
+
+// awaitRequest records that the next bytes belong to another request.
+func (c *callerConn) awaitRequest() { c.waiting.Store(true) }
+
 // Read implements io.Reader.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.begun.Load() {
-		c.begun.Store(true)
+	if n > 0 {
+		c.waiting.Store(false)
 	}
 	return n, err
 }
@@ -42,7 +49,7 @@
 
 // closeUnused closes the connection unless a request has arrived on it.
 func (c *callerConn) closeUnused() {
-	if !c.begun.Load() && c.peek() != peekBytes {
+	if c.waiting.Load() && c.peek() != peekBytes {
 		_ = c.Close()
 	}
 }
@@ -51,7 +58,7 @@
 // limits.
 type connListener struct {
 	limits galenalatch.CallerLimits
-	conns  chan net.Conn
+	conns  chan *callerConn
 	closed chan struct{}
 	once   sync.Once
 	addr   net.Addr
--- a/internal/caller/ingress/server.go
+++ b/internal/caller/ingress/server.go
@@ -7,7 +7,6 @@
 package ingress
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -36,13 +35,6 @@
 	// http.Server. With a queue, the accept loop need not wait until the
 	// goroutine of the server is scheduled for each connection.
 	maxQueuedConns = 256
-	// firstRequestWait bounds the time for which a shutdown waits for first requests
-	// that have arrived, shutdownInterval is the time between two checks.
-	firstRequestWait = 2 * time.Second
-	shutdownInterval = 10 * time.Millisecond
-	// newConnGrace is how long a new connection may stay without a request at a
-	// shutdown: that of a caller which has just opened it is on its way.
-	newConnGrace = 100 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 5 * time.Millisecond
 )
@@ -67,9 +59,10 @@
 	AcceptFailed func(err error)
 
 	// rejecter is set by Serve, before the first http.Server.
-	rejecter  *rejecter
-	openConns atomic.Int64
-	shedConns atomic.Int64
+	rejecter     *rejecter
+	openConns    atomic.Int64
+	shedConns    atomic.Int64
+	lateRequests atomic.Int64
 	// firstReads and firstReadWait are the results of FirstReads.
 	firstReads    atomic.Int64
 	firstReadWait atomic.Int64
@@ -77,12 +70,10 @@
 	mu      sync.Mutex
 	current *connListener
 	servers []*http.Server
-	// unserved holds the connections whose first request has not reached Handler.
-	unserved map[*callerConn]struct{}
-	// stopped is set when Shutdown is called, closing when it no longer waits for first
-	// requests.
-	stopped bool
-	closing bool
+	// conns holds the connections that were accepted for an http.Server.
+	conns map[*callerConn]struct{}
+	// stopped is when Shutdown was called.
+	stopped time.Time
 }
 
 // Serve accepts connections until the listener is closed, and then returns nil.
@@ -97,7 +88,7 @@
 			s.mu.Lock()
 			stopped := s.stopped
 			s.mu.Unlock()
-			if stopped || errors.Is(err, net.ErrClosed) {
+			if !stopped.IsZero() || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			// Usually the process is out of file descriptors for a moment.
@@ -112,13 +103,13 @@
 			s.rejecter.reject(c)
 			continue
 		}
-		s.mu.Lock()
-		g := s.current
-		s.mu.Unlock()
+		k := newCallerConn(c)
+		g := s.add(k)
 		select {
-		case g.conns <- &callerConn{Conn: c, accepted: time.Now()}:
+		case g.conns <- k:
 		case <-g.closed:
-			_ = c.Close()
+			s.remove(k)
+			s.rejecter.reject(c)
 		}
 	}
 }
@@ -130,10 +121,10 @@
 	limits.BodyBytes, limits.TokenRate = 0, 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || s.current != nil && s.current.limits == limits {
+	if !s.stopped.IsZero() || s.current != nil && s.current.limits == limits {
 		return
 	}
-	g := &connListener{limits: limits, conns: make(chan net.Conn, maxQueuedConns), closed: make(chan struct{}), addr: &net.TCPAddr{}}
+	g := &connListener{limits: limits, conns: make(chan *callerConn, maxQueuedConns), closed: make(chan struct{}), addr: &net.TCPAddr{}}
 	h := &http.Server{
 		Handler: s, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		ConnState: s.observeConn, ConnContext: withConnection,
@@ -160,6 +151,7 @@
 	for {
 		select {
 		case c := <-g.conns:
+			s.remove(c)
 			s.rejecter.reject(c)
 		default:
 			return
@@ -171,10 +163,12 @@
 func (s *Server) observeConn(c net.Conn, state http.ConnState) {
 	// connListener returns no other connections.
 	k := c.(*callerConn)
-	if state == http.StateNew {
+	switch state {
+	case http.StateNew:
 		s.openConns.Add(1)
-		s.addUnserved(k)
 		return
+	case http.StateIdle:
+		k.awaitRequest()
 	}
 	if !k.wasRead.Swap(true) {
 		s.firstReads.Add(1)
@@ -182,29 +176,25 @@
 	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		s.openConns.Add(-1)
-		s.removeUnserved(k)
+		s.remove(k)
 	}
 }
 
-// addUnserved records a new connection, or closes it if it has no request when Shutdown
-// no longer waits for one.
-func (s *Server) addUnserved(c *callerConn) {
+// add records a connection and returns the listener that it is to be passed to.
+func (s *Server) add(c *callerConn) *connListener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
-		c.closeUnused()
-		return
-	}
-	if s.unserved == nil {
-		s.unserved = make(map[*callerConn]struct{})
+	if s.conns == nil {
+		s.conns = make(map[*callerConn]struct{})
 	}
-	s.unserved[c] = struct{}{}
+	s.conns[c] = struct{}{}
+	return s.current
 }
 
-func (s *Server) removeUnserved(c *callerConn) {
+func (s *Server) remove(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.unserved, c)
+	delete(s.conns, c)
 }
 
 // OpenConnections returns the number of open connections.
@@ -220,11 +210,9 @@
 	if s.MaxConnections > 0 && float64(s.openConns.Load()) > closeThreshold*float64(s.MaxConnections) {
 		w.Header().Set("Connection", "close")
 	}
-	if c, ok := r.Context().Value(connectionKey{}).(*callerConn); ok && !c.served {
-		c.served = true
-		s.removeUnserved(c)
+	if !s.refuseLate(w) {
+		s.Handler.ServeHTTP(w, r)
 	}
-	s.Handler.ServeHTTP(w, r)
 }
 
 // FirstReads returns the number of connections from which the first bytes were
@@ -232,55 +220,3 @@
 func (s *Server) FirstReads() (n int64, wait time.Duration) {
 	return s.firstReads.Load(), time.Duration(s.firstReadWait.Load())
 }
-
-// closeUnused closes the connections without a request that are older than age, whose
-// callers may safely send their requests again. It returns the number of connections
-// whose first request has not reached Handler.
-func (s *Server) closeUnused(age time.Duration) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.unserved {
-		if time.Since(c.accepted) >= age {
-			c.closeUnused()
-		}
-	}
-	return len(s.unserved)
-}
-
-// awaitFirstRequests waits until the requests that have arrived on new connections have
-// reached Handler: net/http drops those that it reads during its own shutdown.
-func (s *Server) awaitFirstRequests(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, firstRequestWait)
-	defer cancel()
-	t := time.NewTicker(shutdownInterval)
-	defer t.Stop()
-	for s.closeUnused(newConnGrace) > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-// Shutdown stops accepting, closes the connections without a request and waits
-// until all answers have been sent. If ctx ends first, it closes the remaining
-// connections and returns an error. It is called after the listener was closed.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	s.stopped = true
-	servers := s.servers
-	s.mu.Unlock()
-	s.awaitFirstRequests(ctx)
-	s.mu.Lock()
-	s.closing = true
-	s.mu.Unlock()
-	s.closeUnused(0)
-	var failed error
-	for _, h := range servers {
-		if err := h.Shutdown(ctx); err != nil {
-			failed = errors.Join(failed, err, h.Close())
-		}
-	}
-	return failed
-}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -133,6 +133,10 @@
 	// connections. An error means that it is closed already.
 	_ = callers.Close()
 	err := g.ingress.Shutdown(ctx)
-	g.log.Event(events.DrainEnded, "error", err)
+	cut := 0
+	if err != nil {
+		cut = g.ingress.OpenConnections()
+	}
+	g.log.Event(events.DrainEnded, "late", g.ingress.LateRequests(), "cut", cut, "error", err)
 	g.log.Event(events.RouterStopped)
 }
