Let the reader of a connection decide whether it ends at a planned stop

Cause: the shutdown looked whether bytes had arrived, and the reader marked the connection only after it had taken them. In between neither was to be seen, and the connection was closed as unused. Kept connections had the same window.

Change: the shutdown sets a read deadline that has passed, and the goroutine that reads serves the request if bytes were taken or wait in the socket, and ends the connection otherwise. It restores the deadline of net/http.

--- a/internal/caller/ingress/conn.go
+++ b/internal/caller/ingress/conn.go
@@ -1,7 +1,10 @@
 package ingress
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,26 +18,94 @@
 	accepted time.Time
 	// wasRead is set when the first bytes were read or the connection ended.
 	wasRead atomic.Bool
+
+	mu sync.Mutex
 	// waiting is set while no byte of the next request was read.
-	waiting atomic.Bool
+	waiting bool
+	// ending is set when the connection is to end instead of waiting for a request.
+	ending bool
+	// readDeadline is the deadline that net/http has set.
+	readDeadline time.Time
 }
 
+// passedDeadline is a deadline that makes a read return at once.
+var passedDeadline = time.Unix(1, 0)
+
 func newCallerConn(c net.Conn) *callerConn {
-	k := &callerConn{Conn: c, accepted: time.Now()}
-	k.awaitRequest()
-	return k
+	return &callerConn{Conn: c, accepted: time.Now(), waiting: true}
 }
 
 // awaitRequest records that the next bytes belong to another request.
-func (c *callerConn) awaitRequest() { c.waiting.Store(true) }
+func (c *callerConn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// endUnused ends the connection if it waits for a request. The decision is left to the
+// goroutine that reads: only that knows whether bytes were taken from the socket, and a
+// request that was taken must be answered.
+func (c *callerConn) endUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending && !c.waiting {
+		return
+	}
+	c.ending = true
+	if c.waiting {
+		// An error means that the connection is closed.
+		_ = c.Conn.SetReadDeadline(passedDeadline)
+	}
+}
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF if the connection is to end and no
+// request has arrived.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.waiting.Store(false)
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			return n, c.beginRequest(err)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isEnding() {
+			return n, err
+		}
+		if c.peek() != peekBytes {
+			return 0, io.EOF
+		}
+		if err := c.beginRequest(nil); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// beginRequest records that bytes of a request were read or have arrived, and restores
+// the deadline that endUnused has replaced. It returns err if that succeeds.
+func (c *callerConn) beginRequest(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && c.ending {
+		err = errors.Join(err, c.Conn.SetReadDeadline(c.readDeadline))
 	}
-	return n, err
+	c.waiting = false
+	return err
+}
+
+// isEnding reports whether the connection is to end and waits for a request.
+func (c *callerConn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending && c.waiting
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.ending && c.waiting {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // CloseWrite closes the sending side, so that the caller can read a response
@@ -47,13 +118,6 @@
 	return w.CloseWrite()
 }
 
-// closeUnused closes the connection unless a request has arrived on it.
-func (c *callerConn) closeUnused() {
-	if c.waiting.Load() && c.peek() != peekBytes {
-		_ = c.Close()
-	}
-}
-
 // connListener passes accepted connections to the http.Server of one set of
 // limits.
 type connListener struct {
--- a/internal/caller/ingress/shutdown.go
+++ b/internal/caller/ingress/shutdown.go
@@ -43,7 +43,7 @@
 func (s *Server) awaitConnections(ctx context.Context) error {
 	t := time.NewTicker(shutdownInterval)
 	defer t.Stop()
-	for s.closeUnused(time.Now()) > 0 {
+	for s.endUnused(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
@@ -53,14 +53,14 @@
 	return nil
 }
 
-// closeUnused closes the connections that wait for a request, other than new ones, and
-// returns the number of connections that were open.
-func (s *Server) closeUnused(now time.Time) int {
+// endUnused ends the connections that wait for a request, other than new ones, and
+// returns the number of open connections.
+func (s *Server) endUnused(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if now.Sub(c.accepted) >= newConnGrace {
-			c.closeUnused()
+			c.endUnused()
 		}
 	}
 	return len(s.conns)
