Shut the listeners of a router down together

Change: Shutdown of the listener package ends all servers at once.

Evidence: TestShutdownClosesAllListeners failed before ("still listens" a second after the start of the shutdown) and passes.

--- a/internal/process/listener/server.go
+++ b/internal/process/listener/server.go
@@ -99,14 +99,21 @@
 	return g.Wait()
 }
 
-// Shutdown stops listening and waits until all responses have been sent. When ctx
-// ends first, it closes the remaining connections and returns the error of ctx.
+// Shutdown stops listening on all addresses at once and waits until all responses have
+// been sent. When ctx ends first, it closes the remaining connections and returns the
+// error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
-	var all error
-	for _, h := range s.servers {
-		if err := h.Shutdown(ctx); err != nil {
-			all = errors.Join(all, err, h.Close())
-		}
+	var g errgroup.Group
+	failed := make([]error, len(s.servers))
+	for i, h := range s.servers {
+		g.Go(func() error {
+			if err := h.Shutdown(ctx); err != nil {
+				failed[i] = errors.Join(err, h.Close())
+			}
+			return nil
+		})
 	}
-	return all
+	// The goroutines return no error: each server is shut down whatever the others do.
+	_ = g.Wait()
+	return errors.Join(failed...)
 }
