Count the time of accepting from the signal while the store is silent

Requests were taken until 3.5 s after the signal; later than 3 s they must not be cut.

Change: both waits begin at the signal.

--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,28 +89,66 @@
 	return nil
 }
 
+// silentStore is a store that does not respond to writes once it is silent.
+type silentStore struct {
+	*store.Store
+	silent atomic.Bool
+}
+
+// Write implements galenalatch.Store.
+func (s *silentStore) Write(ctx context.Context, table string, r galenalatch.StoreRow) error {
+	if !s.silent.Load() {
+		return s.Store.Write(ctx, table, r)
+	}
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+
 // Guards against requests that are taken so long after SIGTERM that they may be
-// cut at the end of the drain, and against connections that are refused before
-// the load balancer has noticed the drain.
+// cut at the end of the drain, also while the store does not respond, and against
+// connections that are refused before the load balancer has noticed the drain.
 func TestDrainAcceptTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const (
-			// The load balancer polls every second and counts two failures.
-			balancerTime = 2 * time.Second
-			// A request sent later than lastRequest after SIGTERM must not be cut;
-			// a busy process sees the signal up to signalDelay late.
-			lastRequest = 3 * time.Second
-			signalDelay = 400 * time.Millisecond
-		)
-		log, err := events.New(t.Output(), "info", "logfmt")
-		assert.NilError(t, err)
-		g := &Gateway{settings: gateway.Default(), log: log, handler: host.New(host.Options{}), ingress: &ingress.Server{}}
-		g.members = members.New(members.Options{Store: store.New(), Self: members.Member{ID: "r1"}})
-		l, start := &timedListener{}, time.Now()
-		g.drain(l)
-		taken := l.closed.Sub(start)
-		assert.Assert(t, taken >= balancerTime && taken+signalDelay <= lastRequest, "%s", taken)
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent store %t", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testDrainAcceptTime(t, silent) })
+		})
+	}
+}
+
+func testDrainAcceptTime(t *testing.T, silent bool) {
+	const (
+		// The load balancer polls every second and counts two failures.
+		balancerTime = 2 * time.Second
+		// A request sent later than lastRequest after SIGTERM must not be cut;
+		// a busy process sees the signal up to signalDelay late.
+		lastRequest = 3 * time.Second
+		signalDelay = 400 * time.Millisecond
+	)
+	log, err := events.New(t.Output(), "info", "logfmt")
+	assert.NilError(t, err)
+	g := &Gateway{settings: gateway.Default(), log: log, handler: host.New(host.Options{}), ingress: &ingress.Server{}}
+	s := &silentStore{Store: store.New()}
+	listed := make(chan struct{}, 1)
+	g.members = members.New(members.Options{
+		Store: s, Self: members.Member{ID: "r1", Address: "127.0.0.1:1"},
+		Changed: func(list []members.Member, _ string) {
+			if len(list) > 0 {
+				listed <- struct{}{}
+			}
+		},
+		Events: observer{log: log, metrics: newMetrics(counters{func() int64 { return 0 }, func() int64 { return 0 }, func() int64 { return 0 }})},
 	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.members.Run(ctx) }()
+	<-listed
+	s.silent.Store(silent)
+	l, start := &timedListener{}, time.Now()
+	g.drain(l)
+	taken := l.closed.Sub(start)
+	assert.Assert(t, taken >= balancerTime && taken+signalDelay <= lastRequest, "%s", taken)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
 }
 
 // Guards against shares of the fixed retry budget that together exceed it, also
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -122,13 +122,13 @@
 	g.draining.Store(true)
 	g.handler.Drain()
 	g.log.Event(events.DrainStarted, "limit", limit)
-	if err := g.members.Leave(ctx); err != nil {
+	// The time counts from the signal, whether or not the store responds to Leave.
+	accepting, stopAccepting := context.WithTimeout(ctx, min(drainAcceptTime, limit/2))
+	defer stopAccepting()
+	if err := g.members.Leave(accepting); err != nil {
 		g.log.Event(events.MembersChanged, "left", g.settings.ID, "error", err)
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(drainAcceptTime, limit/2)):
-	}
+	<-accepting.Done()
 	// The listener stays open until here, since the load balancer may still open
 	// connections. An error means that it is closed already.
 	_ = callers.Close()
