Decide in one place what a router may send to a server, and obey its signals

Both were ignored: a server that announced its leaving while its entry said nothing got its usual share, and one that asked for a pause got requests throughout.

Change: the type Reason of the placement package says whether this router may send to a server now, and if not, why; Availability adds until when. It replaces the checks of usable, pausedUntil, cold and limited that stood side by side in Choose, preferred and Usable. Two reasons are new: leavingAnnounced lasts for the process of the server, whatever its entry says later, and pauseRequested until the latest end asked for, at most 10 minutes ahead. After a pause a router returns with one request and grows to the slots of the server within a second; routers extend the pause by different times. If all servers pause, callers are refused at once with the earliest end.

Evidence: with recordSignals left out, TestAnnouncedLeaving (4 cases), TestAnnouncementOfAnotherServer, TestRequestedPause, TestAllServersPause and TestPauseBeforeSend fail; they pass 5 times under the race detector. The corpus entry of FuzzResponse has empty values for the two new headers.

--- a/headers.go
+++ b/headers.go
@@ -69,6 +69,11 @@
 	Limited      bool
 	Limit        float64
 	InvalidLimit string
+	// Leaving is set when the server says that it takes no new requests.
+	Leaving bool
+	// Pause is the time for which the server wants no requests from this router; 0
+	// when it asked for none.
+	Pause time.Duration
 }
 
 // Headers translates between the platform's HTTP headers and the types of this
--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -99,6 +99,10 @@
 func (r *recorder) LimitInvalid(s galenalatch.ServerID, value string) {
 	r.add("invalid limit %s %s", s, value)
 }
+func (r *recorder) LeavingAnnounced(s galenalatch.ServerID) { r.add("leaving %s", s) }
+func (r *recorder) PauseRequested(s galenalatch.ServerID, asked, _ time.Duration) {
+	r.add("pause %s %s", s, asked)
+}
 func (r *recorder) Panicked(id galenalatch.RequestID, _ Decision, err error) {
 	r.add("panicked %s: %v", id, err)
 }
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -91,6 +91,9 @@
 //
 // LimitChanged is called when a server names another limit than before, or none any
 // more, and LimitInvalid when it names a value that cannot be used.
+//
+// LeavingAnnounced is called when a server has said in an answer that it leaves, and
+// PauseRequested when it has asked for a pause, with the time that this router waits.
 type Events interface {
 	Placed(r galenalatch.RequestID, d Decision)
 	Attempted(r galenalatch.RequestID, d Decision, status int, err error)
@@ -99,6 +102,8 @@
 	Panicked(r galenalatch.RequestID, d Decision, err error)
 	LimitChanged(s galenalatch.ServerID, named bool, rate float64)
 	LimitInvalid(s galenalatch.ServerID, value string)
+	LeavingAnnounced(s galenalatch.ServerID)
+	PauseRequested(s galenalatch.ServerID, asked, wait time.Duration)
 }
 
 // Decision holds the state on which the decisions about a request are based.
--- a/internal/caller/host/refusal.go
+++ b/internal/caller/host/refusal.go
@@ -31,7 +31,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if reply.RetryAfter > 0 {
-		t.h.Headers.RetryAfter(t.w.Header(), retryAfter)
+		t.h.Headers.RetryAfter(t.w.Header(), max(t.returnAfter, retryAfter))
 	}
 	t.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	text := string(kind) + "\n"
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -59,6 +60,8 @@
 	// startedAt is when the tokens of the request were counted as started. It is zero
 	// for requests that have none.
 	startedAt time.Time
+	// returnAfter is the time after which the caller of a refused request may retry.
+	returnAfter time.Duration
 	// reservation is the place at a server that the request holds, if any.
 	reservation *placement.Reservation
 }
@@ -111,7 +114,7 @@
 	})
 	t.decision.Waited = now.Sub(t.arrival)
 	if !ok {
-		return nil, galenalatch.KindServerUnreachable.Errorf("no server of service %s can take the request", t.decision.Service)
+		return nil, t.noServer(now)
 	}
 	t.reservation = p
 	t.decision.Server, t.decision.Wait, t.decision.Prefill, t.decision.Overhead = p.Server, p.Wait, p.Prefill, p.Overhead
@@ -137,6 +140,16 @@
 	return p, nil
 }
 
+// noServer returns the error of a request that no server can take now. If all servers
+// have asked for a pause, the caller is asked to return after the first of them ends.
+func (t *transaction) noServer(now time.Time) error {
+	a := t.h.Table.ServiceAvailability(now, t.decision.Service)
+	if a.Reason == placement.PauseRequested || a.Reason == placement.Returning {
+		t.returnAfter = max(a.Until.Sub(now), retryAfter)
+	}
+	return galenalatch.KindServerUnreachable.Errorf("no server of service %s can take the request: %s", t.decision.Service, a.Reason)
+}
+
 // takeBackTokens undoes the count of started tokens if no server began the request.
 func (t *transaction) takeBackTokens() {
 	if t.startedAt.IsZero() || t.mayHaveRun {
@@ -221,7 +234,7 @@
 			Server: p.Server, Workspace: t.decision.Workspace, LastEvent: last,
 			Remaining: t.timeLimit - time.Since(t.arrival),
 		}),
-		Check: func() error { return t.checkBeforeSend(p.Server) },
+		Check: func() error { return t.checkBeforeSend(p) },
 	}
 	if !t.route.Repeatable() {
 		r.MaxIdleAge = maxOnceIdleAge
@@ -237,7 +250,7 @@
 		t.mayHaveRun = true
 		return nil, err
 	}
-	t.recordLimit(p, a.Head)
+	t.recordSignals(p, a.Head)
 	if !a.Head.NotRun {
 		t.mayHaveRun, t.begun = true, true
 	}
@@ -247,9 +260,9 @@
 // checkBeforeSend returns an error if the request must not be sent to the server
 // any more. The choice of the server may be old, since a connection was opened and
 // the goroutine waited for the processor.
-func (t *transaction) checkBeforeSend(s galenalatch.ServerID) error {
-	if !t.h.Table.Usable(time.Now(), s) {
-		return errors.New("the backend server was taken out of service")
+func (t *transaction) checkBeforeSend(p *placement.Reservation) error {
+	if r := t.h.Table.CheckReservation(time.Now(), p); r != placement.Available {
+		return fmt.Errorf("the backend server takes no requests any more: %s", r)
 	}
 	if ingress.CallerDisconnected(t.r.Context()) {
 		return errors.New("the caller closed its connection")
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -106,8 +106,8 @@
 }
 
 // Choose returns the best server for a request and reserves it. It reports
-// false when no server may take the request. Servers that are paused after a
-// failure are used only when there is no other one.
+// false when no server may take the request. Failing servers are used only when
+// there is no other one.
 func (t *Table) Choose(now time.Time, r Request) (*Reservation, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,20 +119,13 @@
 	var best *server
 	var bestEstimate estimate
 	preferred := t.preferred(now, r.Service, keys)
-	for _, paused := range []bool{false, true} {
+	for _, reason := range []Reason{Available, Failing} {
 		for _, s := range t.services[r.Service] {
-			if !t.usable(now, s) || slices.Contains(r.Exclude, s.ID) || now.Before(s.pausedUntil) != paused {
-				continue
-			}
-			cold := s.cold(now)
-			if cold && !t.allowCold(now, s) {
-				continue
-			}
-			if s.limited(now) && !t.allowLimited(now, s) {
+			if slices.Contains(r.Exclude, s.ID) || t.reason(now, s) != reason {
 				continue
 			}
 			e := t.predict(now, s, r, keys, engine, s == preferred)
-			e.cold = cold
+			e.cold = s.cold(now)
 			// The connections to a server are looked up under a lock, so only those
 			// of servers that may be the best one.
 			if r.HasIdle != nil && (best == nil || e.score < bestEstimate.score) && !r.HasIdle(s.ID) {
@@ -183,9 +176,13 @@
 	// The last part is specific to the request.
 	key := keys[max(len(keys)-2, 0)]
 	var best *server
+	var bestWeight uint64
 	for _, s := range t.services[service] {
-		if t.usable(now, s) && !s.cold(now) && !s.limited(now) && !now.Before(s.pausedUntil) && (best == nil || hash(key, s) > hash(key, best)) {
-			best = s
+		if s.cold(now) || s.limited(now) || t.reason(now, s) != Available {
+			continue
+		}
+		if weight := hash(key, s); best == nil || weight > bestWeight {
+			best, bestWeight = s, weight
 		}
 	}
 	return best
--- a/internal/decide/placement/result.go
+++ b/internal/decide/placement/result.go
@@ -98,16 +98,16 @@
 	case Unreachable:
 		s.backOff(now)
 	case Shed:
-		s.pauseUntil(now.Add(shedPause))
+		s.failUntil(now.Add(shedPause))
 	case Misdirected:
 		// The server no longer has the address: its registration is out of
 		// date. Further requests would reach a server of another service.
-		s.pauseUntil(now.Add(maxBackoff))
+		s.failUntil(now.Add(maxBackoff))
 	}
 }
 
-// shedPause is the time for which a server gets no new requests after it has
-// shed one.
+// shedPause is the time for which other servers are preferred after a server has shed
+// a request.
 const shedPause = 50 * time.Millisecond
 
 // LocalLoad returns the load of this router's requests, by the keys that
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -61,8 +61,14 @@
 	meanDuration   time.Duration
 	failureRate    float64
 	backoff        time.Duration
-	pausedUntil    time.Time
+	failingUntil   time.Time
 	limit          limit
+	// outOfService is set while operators have taken its data centre out of service.
+	outOfService bool
+	// pausedUntil is the end of the last pause that the server has asked for.
+	pausedUntil time.Time
+	// leavingAnnounced is set when the server has said in an answer that it leaves.
+	leavingAnnounced bool
 }
 
 func newServer(r galenalatch.Registration) *server {
@@ -181,15 +187,15 @@
 	s.failureRate += (failure - s.failureRate) * failureWeight
 }
 
-// backOff pauses the server for a time that doubles with each call.
+// backOff prefers other servers for a time that doubles with each call.
 func (s *server) backOff(now time.Time) {
 	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	s.pauseUntil(now.Add(s.backoff))
+	s.failUntil(now.Add(s.backoff))
 }
 
-// pauseUntil keeps new requests away until t. It never shortens a pause.
-func (s *server) pauseUntil(t time.Time) {
-	if t.After(s.pausedUntil) {
-		s.pausedUntil = t
+// failUntil prefers other servers until t. It never shortens that time.
+func (s *server) failUntil(t time.Time) {
+	if t.After(s.failingUntil) {
+		s.failingUntil = t
 	}
 }
--- a/internal/decide/placement/table.go
+++ b/internal/decide/placement/table.go
@@ -53,6 +53,9 @@
 	// remoteTotal is the sum of the other routers' loads by server key.
 	remoteTotal  map[uint32]Load
 	calibrations map[string]*calibration
+	// leaving holds the processes of servers that have announced their leaving, with
+	// the time at which that was last needed.
+	leaving map[process]time.Time
 }
 
 // New returns a table without servers.
@@ -67,6 +70,7 @@
 		remote:       make(map[galenalatch.RouterID]remoteLoad),
 		remoteTotal:  make(map[uint32]Load),
 		calibrations: make(map[string]*calibration),
+		leaving:      make(map[process]time.Time),
 	}
 }
 
@@ -90,12 +94,14 @@
 func (t *Table) SetOutOfService(now time.Time, d galenalatch.DataCentre, out bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.outOfService[d] && !out {
-		for _, s := range t.servers {
-			if s.DataCentre == d {
-				s.setCold(now, t.settings[s.Service].ColdTime)
-			}
+	for _, s := range t.servers {
+		if s.DataCentre != d {
+			continue
 		}
+		if s.outOfService && !out {
+			s.setCold(now, t.settings[s.Service].ColdTime)
+		}
+		s.outOfService = out
 	}
 	if out {
 		t.outOfService[d] = true
@@ -117,12 +123,14 @@
 	if !ok {
 		s = newServer(r)
 		s.remote = t.remoteTotal[s.key()]
+		_, s.leavingAnnounced = t.leaving[s.process()]
 		t.servers[r.ID] = s
 		t.serversByKey[s.key()] = s
 		t.services[r.Service] = append(t.services[r.Service], s)
 		slices.SortFunc(t.services[r.Service], func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	s.Registration = r
+	s.outOfService = t.outOfService[r.DataCentre]
 	s.removeAt = time.Time{}
 	s.setCold(now, r.ColdFor)
 }
@@ -158,6 +166,7 @@
 			t.drop(s)
 		}
 	}
+	t.expireLeaving(now)
 	return removed
 }
 
@@ -180,18 +189,6 @@
 	return ids
 }
 
-// Usable reports whether new requests may be sent to the server now.
-func (t *Table) Usable(now time.Time, id galenalatch.ServerID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.servers[id]
-	return ok && t.usable(now, s)
-}
-
-func (t *Table) usable(now time.Time, s *server) bool {
-	return !s.Leaving && !s.removed(now) && !t.outOfService[s.DataCentre]
-}
-
 // hash returns the rendezvous weight of a server for a key.
 func hash(key uint64, s *server) uint64 {
 	x := key ^ s.seed
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -121,6 +121,7 @@
 	g.metrics = newMetrics(counters{
 		droppedLines: out.Dropped, routers: g.routers.Load,
 		shedConnections: func() int64 { return g.ingress.ShedConnections() },
+		servers:         func(r placement.Reason) int { return g.table.Count(time.Now(), r) },
 	})
 	obs := observer{log: g.log, metrics: g.metrics}
 	g.table = placement.New(placement.Options{
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -54,7 +54,7 @@
 		log, err := events.New(t.Output(), "info", "logfmt")
 		assert.NilError(t, err)
 		zero := func() int64 { return 0 }
-		metrics := newMetrics(counters{zero, zero, zero})
+		metrics := newMetrics(counters{droppedLines: zero, routers: zero, shedConnections: zero})
 		g := &Gateway{settings: gateway.Default()}
 		g.view = view.New(view.Options{
 			Store: store, Table: placement.New(placement.Options{Self: "r1", Local: "a", PrefillRate: 50}),
@@ -136,7 +136,7 @@
 				listed <- struct{}{}
 			}
 		},
-		Events: observer{log: log, metrics: newMetrics(counters{func() int64 { return 0 }, func() int64 { return 0 }, func() int64 { return 0 }})},
+		Events: observer{log: log, metrics: newMetrics(counters{})},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/galenalatch/galenalatch/internal/caller/host"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
 )
 
 // firstByteBuckets are the histogram buckets for the time to the first byte of a
@@ -26,8 +27,10 @@
 	interruptions *prometheus.CounterVec
 	// limitChanges counts changes of the limits that servers name.
 	limitChanges prometheus.Counter
-	heldParts    prometheus.Gauge
-	firstByte    *prometheus.HistogramVec
+	// pauses counts pauses that servers have asked for.
+	pauses    prometheus.Counter
+	heldParts prometheus.Gauge
+	firstByte *prometheus.HistogramVec
 	// panics counts requests that a defect of the router ended.
 	panics prometheus.Counter
 	dials  prometheus.Counter
@@ -36,6 +39,7 @@
 // counters are the values that other parts of the gateway count.
 type counters struct {
 	droppedLines, routers, shedConnections func() int64
+	servers                                func(placement.Reason) int
 }
 
 func newMetrics(o counters) *gatewayMetrics {
@@ -46,6 +50,7 @@
 		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_attempts_total", Help: "Attempts at backend servers by result."}, []string{"result"}),
 		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "galenalatch_gateway_interruptions_total", Help: "Requests with a prompt whose server crashed before their first event, by whether the answer had begun."}, []string{"begun"}),
 		limitChanges:  prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_limit_changes_total", Help: "Changes of the limits that backend servers name in their answers."}),
+		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_pauses_total", Help: "Pauses that backend servers have asked for in their answers."}),
 		heldParts:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "galenalatch_gateway_held_parts", Help: "Prompt parts that are held back because servers crashed on them."}),
 		firstByte:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "galenalatch_gateway_first_piece_seconds", Help: "Time from the arrival of a request to the first piece of its answer, by service.", Buckets: firstByteBuckets}, []string{"service"}),
 		panics:        prometheus.NewCounter(prometheus.CounterOpts{Name: "galenalatch_gateway_panics_total", Help: "Requests that a defect of the router ended."}),
@@ -57,7 +62,12 @@
 		func() float64 { return float64(o.routers()) })
 	shed := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "galenalatch_gateway_shed_connections_total", Help: "New connections whose request was rejected with 503 and not parsed because the processor was overloaded."},
 		func() float64 { return float64(o.shedConnections()) })
-	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.limitChanges, c.heldParts, c.firstByte, c.panics, c.dials, lines, listed, shed,
+	for _, r := range placement.Reasons {
+		c.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "galenalatch_gateway_servers", Help: "Listed backend servers by whether this router may send them a request now, and why not.", ConstLabels: prometheus.Labels{"reason": r.String()},
+		}, func() float64 { return float64(o.servers(r)) }))
+	}
+	c.registry.MustRegister(c.responses, c.refusals, c.attempts, c.interruptions, c.limitChanges, c.pauses, c.heldParts, c.firstByte, c.panics, c.dials, lines, listed, shed,
 		collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)))
 	return c
 }
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/caller/host"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 )
 
@@ -139,6 +140,17 @@
 	o.log.Event(events.LimitInvalid, "server", s, "value", value)
 }
 
+// LeavingAnnounced implements host.Events.
+func (o observer) LeavingAnnounced(s galenalatch.ServerID) {
+	o.log.Event(events.LeavingAnnounced, "server", s, "reason", placement.LeavingAnnounced)
+}
+
+// PauseRequested implements host.Events.
+func (o observer) PauseRequested(s galenalatch.ServerID, asked, wait time.Duration) {
+	o.log.Event(events.PauseRequested, "server", s, "reason", placement.PauseRequested, "asked", roundToMillis(asked), "wait", roundToMillis(wait))
+	o.metrics.pauses.Inc()
+}
+
 // roundToMillis shortens a duration for a log line.
 func roundToMillis(d time.Duration) time.Duration {
 	return d.Round(time.Millisecond)
--- a/internal/process/gateway/status.go
+++ b/internal/process/gateway/status.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/telemetry/events"
 	"github.com/galenalatch/galenalatch/internal/telemetry/scheduler"
 )
@@ -70,8 +73,19 @@
 			runtime.ReadMemStats(&m)
 			g.log.Event(events.ProcessStatus, "callers", g.ingress.OpenConnections(), "shed", g.ingress.ShedConnections(), "streams", g.handler.Streams(),
 				"firstReadWait", roundToMillis(connections.meanWait()), "processorWait", roundToMillis(waits.Quantile(waitQuantile)),
-				"idleServers", g.client.Idle(), "goroutines", runtime.NumGoroutine(),
+				"idleServers", g.client.Idle(), "unavailable", g.unavailable(time.Now()), "goroutines", runtime.NumGoroutine(),
 				"heap", m.HeapInuse, "stacks", m.StackInuse, "system", m.Sys, "collections", m.NumGC, "collectorShare", m.GCCPUFraction)
 		}
 	}
 }
+
+// unavailable returns the numbers of servers that get no requests now, by reason.
+func (g *Gateway) unavailable(now time.Time) string {
+	var counts []string
+	for _, r := range placement.Reasons {
+		if n := g.table.Count(now, r); n > 0 && r != placement.Available {
+			counts = append(counts, fmt.Sprintf("%s:%d", r, n))
+		}
+	}
+	return strings.Join(counts, ",")
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -85,11 +85,16 @@
 	Prompt string
 	// Limit is the header with the limit that a server names.
 	Limit string
+	// Leaving is the header of a server that leaves, Return the one with a pause that
+	// a server asks for.
+	Leaving string
+	Return  string
 }
 
 // DefaultHeaderNames holds the header names of package headers.
 var DefaultHeaderNames = HeaderNames{
 	Request: headers.Request, LastEvent: headers.LastEvent, Seal: headers.Seal, NotRun: headers.NotRun, Expected: headers.Server, Prompt: headers.Prompt, Limit: headers.Limit,
+	Leaving: headers.Leaving, Return: headers.Return,
 }
 
 // Server is one backend server on a loopback address.
@@ -114,7 +119,11 @@
 	ended     bool
 	open      map[net.Conn]struct{}
 	// limit is the value of the limit that the server names, if any.
-	limit       string
+	limit string
+	// leaving is set when the server says in its answers that it leaves, pause is the
+	// time that it asks for in rejections.
+	leaving     bool
+	pause       string
 	connections int
 	received    int
 }
@@ -176,6 +185,20 @@
 	s.limit = limit
 }
 
+// AnnounceLeaving makes the server say in all its answers that it leaves.
+func (s *Server) AnnounceLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// RequestPause makes the server reject requests, with the time for which it wants none.
+func (s *Server) RequestPause(pause string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour, s.pause = RejectNotRun, pause
+}
+
 // Ended reports whether the server has ended by a prompt part.
 func (s *Server) Ended() bool {
 	s.mu.Lock()
@@ -287,7 +310,7 @@
 		behaviour = misdirected
 	}
 	s.received++
-	limit := s.limit
+	limit, pause, leaving := s.limit, s.pause, s.leaving
 	if behaviour != RejectNotRun && behaviour != EndlessRejection && behaviour != misdirected {
 		s.runs[id]++
 		s.runLog = append(s.runLog, Run{ID: id, Path: r.URL.Path, At: time.Now()})
@@ -298,6 +321,11 @@
 	if limit != "" {
 		header += s.headerNames.Limit + ": " + limit + "\r\n"
 	}
+	announcement := ""
+	if leaving {
+		announcement = s.headerNames.Leaving + ": 1\r\n"
+	}
+	header += announcement
 	responseBody := "served by " + string(s.ID) + " for " + id + "\n"
 	response := func(status string, header, responseBody string) string {
 		return "HTTP/1.1 " + status + "\r\n" + header + "Content-Length: " + strconv.Itoa(len(responseBody)) + "\r\n\r\n" + responseBody
@@ -309,9 +337,12 @@
 	}
 	switch behaviour {
 	case misdirected:
-		return s.write(c, response("421 Misdirected Request", s.headerNames.Request+": "+id+"\r\n"+s.headerNames.NotRun+": 1\r\n", ""))
+		return s.write(c, response("421 Misdirected Request", s.headerNames.Request+": "+id+"\r\n"+s.headerNames.NotRun+": 1\r\n"+announcement, ""))
 	case RejectNotRun:
-		return s.write(c, response("503 Service Unavailable", s.headerNames.Request+": "+id+"\r\n"+s.headerNames.NotRun+": 1\r\n", ""))
+		if pause != "" {
+			announcement += s.headerNames.Return + ": " + pause + "\r\n"
+		}
+		return s.write(c, response("503 Service Unavailable", s.headerNames.Request+": "+id+"\r\n"+s.headerNames.NotRun+": 1\r\n"+announcement, ""))
 	case Fail:
 		return s.write(c, response("500 Internal Server Error", header, "failed\n"))
 	case CloseAfterRun:
--- a/internal/standin/headers/headers.go
+++ b/internal/standin/headers/headers.go
@@ -37,6 +37,8 @@
 	// Limit is the number of requests per second that the server takes from all
 	// routers together.
 	Limit = "Galenalatch-Limit"
+	// Leaving is set in all responses of a server that leaves.
+	Leaving = "Galenalatch-Leaving"
 	// Return is the time after which a refused caller may retry, in the
 	// format of time.Duration.
 	Return = "Galenalatch-Return"
@@ -86,7 +88,10 @@
 // Response implements galenalatch.Headers.
 func (Headers) Response(status int, h http.Header) galenalatch.ResponseHead {
 	limit, err := strconv.ParseFloat(h.Get(Limit), 64)
+	// Without a valid time there is no pause.
+	pause, _ := time.ParseDuration(h.Get(Return))
 	return galenalatch.ResponseHead{
+		Leaving: h.Get(Leaving) != "", Pause: max(pause, 0),
 		Limit: limit, Limited: err == nil,
 		ID: galenalatch.RequestID(h.Get(Request)), Sealed: h.Get(Seal) != "", NotRun: h.Get(NotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -64,6 +64,8 @@
 	LimitChanged           Number = 8007
 	LimitInvalid           Number = 8008
 	RequestPanicked        Number = 8009
+	LeavingAnnounced       Number = 8010
+	PauseRequested         Number = 8011
 	ConfigurationApplied   Number = 8101
 	DataCentreOutOfService Number = 8102
 	DataCentreReturned     Number = 8103
@@ -227,6 +229,12 @@
 	RequestPanicked: {log.ErrorLevel, "request panicked",
 		"A defect of the router ended a request, whose connection was closed; `error` names the place in the code. Other requests go on.",
 		"Report the line to the developers. When it repeats, look for what its requests have in common."},
+	LeavingAnnounced: {log.InfoLevel, "server announced leaving",
+		"A backend server said in an answer that it leaves. This router sends it no new requests, whatever its entry says; running ones go on.",
+		"When the server goes on serving others for long, tell the owner of the service: only a new start of the server ends this."},
+	PauseRequested: {log.InfoLevel, "server requested pause",
+		"A backend server answered 503 with a time (`asked`) for which it wants no requests of this router. `wait` is that time and a part that differs between routers.",
+		"When servers ask for pauses often, the service needs more servers. While all of them pause, requests are refused with 8003."},
 	ConfigurationApplied: {log.InfoLevel, "configuration applied",
 		"A newer version of the configuration replaced the previous one.", none},
 	DataCentreOutOfService: {log.InfoLevel, "data centre out", "Operators took a data centre out of service. Its backend servers get no new requests.", none},
