Check bodies without a length for the end of leaving servers, too

Callers got a stream that ended as whole after 20 of 30 events: its server had announced its leaving and exited inside it.

Cause: the end of a server was looked for only if the server took new requests, so that planned ends were not taken for crashes by prompt parts. For the question whether a body is whole the reason of the end is irrelevant.

Change: checkEnd probes the address of the server whatever is known of its leaving; the attribution of crashes still leaves planned ends out.

--- a/internal/caller/host/response.go
+++ b/internal/caller/host/response.go
@@ -76,9 +76,10 @@
 var errServerEnded = errors.New("the backend server ended with a body of unknown length")
 
 // checkEnd returns an error if a body that ends with its connection may have been
-// cut off because its server has ended.
+// cut off because its server has ended. A planned end counts as well: a server that
+// leaves may exit inside its answers.
 func (t *transaction) checkEnd(ctx context.Context, a *exchange.Response, p *placement.Reservation) error {
-	if a.CloseDelimited() && t.serverEnded(ctx, p) {
+	if a.CloseDelimited() && t.h.Client.Refuses(ctx, p.Server, p.Address) {
 		return errServerEnded
 	}
 	return nil
--- a/internal/caller/host/signals_test.go
+++ b/internal/caller/host/signals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -161,3 +162,51 @@
 	assert.Equal(t, a.status, http.StatusServiceUnavailable)
 	assert.Equal(t, f.servers[0].Arrivals()+f.servers[1].Arrivals(), 2)
 }
+
+// Guards against an answer of unknown length that looks whole although its server, whose
+// leaving was known, has ended inside it, and against a whole one that is broken off.
+func TestUnframedAnswerOfLeavingServer(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour backend.Behaviour
+		path      string
+		// served is set if the caller gets a whole answer.
+		served bool
+	}{
+		{"resumable stream, ended server", backend.EndUnframed, "/stream/1", true},
+		{"other stream, ended server", backend.EndUnframed, "/stream/once/1", false},
+		{"repeatable answer, ended server", backend.EndUnframed, "/status/1", true},
+		{"other answer, ended server", backend.EndUnframed, "/log/1", false},
+		{"stream, running server", backend.Unframed, "/stream/once/1", true},
+		{"answer, running server", backend.Unframed, "/log/1", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, configuration())
+			leaving := f.servers[0]
+			leaving.SetBehaviour(tt.behaviour)
+			leaving.AnnounceLeaving()
+			var a response
+			id := ""
+			for i := 0; leaving.Arrivals() == 0; i++ {
+				assert.Assert(t, i < 100, "%s gets no request", leaving.ID)
+				id = fmt.Sprint("r-", i)
+				a = f.call(t.Context(), "POST", tt.path, id, "")
+			}
+			assert.Equal(t, f.events.count("leaving "+string(leaving.ID)), 1)
+			if !tt.served {
+				assert.Assert(t, a.err != nil || a.status == http.StatusBadGateway, "status %d: %q", a.status, a.body)
+				return
+			}
+			assert.NilError(t, a.err)
+			want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"
+			if !strings.HasPrefix(tt.path, "/stream/") {
+				want = "served by " + string(f.servers[1].ID) + " for " + id + "\n"
+			}
+			if tt.behaviour == backend.Unframed && !strings.HasPrefix(tt.path, "/stream/") {
+				want = "served by " + string(leaving.ID) + " for " + id + "\n"
+			}
+			assert.Equal(t, a.body, want)
+		})
+	}
+}
