Wait for the end of a stream's run before it goes on at another server

Callers' streams went on at another server while the one before still worked on them: it had sent bytes that are no chunk, and did not notice that the connection was closed.

Cause: the closed connection was taken for the end of the run.

Change: before a broken stream goes on, its server's report is read, first 200 ms after the exchange ended and then every 100 ms, until the request is not listed. Servers that have ended, cannot be reached or list no runs hold nothing up. RunReports translates the platform's report.

--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -142,7 +142,7 @@
 		OperatorWait: 50 * time.Millisecond,
 	})
 	h := New(Options{
-		View: f.view, Table: table, Headers: headers.Headers{}, Events: f.events, MaxProofAge: 400 * time.Millisecond, MaxDenialAge: 200 * time.Millisecond,
+		View: f.view, Table: table, Headers: headers.Headers{}, Reports: headers.RunReports{}, Events: f.events, MaxProofAge: 400 * time.Millisecond, MaxDenialAge: 200 * time.Millisecond,
 		Client: exchange.New(exchange.Options{
 			Dial: f.dial, Headers: headers.Headers{}, DialTimeout: time.Second, ProbeTimeout: time.Second, MaxIdle: 4,
 		}),
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -34,6 +34,7 @@
 	Table   *placement.Table
 	Client  *exchange.Client
 	Headers galenalatch.Headers
+	Reports galenalatch.RunReports
 	Events  Events
 	// MaxProofAge is the time since the store last confirmed the configuration
 	// as the newest one, above which requests with keys are refused.
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -83,7 +83,7 @@
 				return
 			}
 		}
-		if !t.shouldRetry(ctx, err) {
+		if !t.shouldRetry(ctx, err) || !t.awaitRunEnd(ctx, reservation, err) {
 			t.takeBackTokens()
 			t.finish(ctx, err)
 			return
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -142,7 +142,7 @@
 		DialTimeout: dialTimeout, ProbeTimeout: probeTimeout, MaxIdle: maxIdlePerServer, OnDial: g.metrics.dials.Inc,
 	})
 	g.handler = host.New(host.Options{
-		View: g.view, Table: g.table, Client: g.client, Headers: platform.Headers{}, Events: obs,
+		View: g.view, Table: g.table, Client: g.client, Headers: platform.Headers{}, Reports: platform.RunReports{}, Events: obs,
 		MaxProofAge:  s.KeyRemoval.Std() - proofMargin,
 		MaxDenialAge: s.ConfigurationApply.Std() - proofMargin,
 		PassLimit:    s.PassLimit.Std(),
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -5,8 +5,10 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +48,10 @@
 	// EndUnframed is Unframed with a server that ends after the first event, or
 	// inside another body.
 	EndUnframed Behaviour = "ends unframed"
+	// GarbleStream runs the request and sends bytes that are no chunk after its first
+	// event. The server does not notice that the connection closes: it works on for
+	// GarbledRunTime. Resumed streams and other responses are sent as with Answer.
+	GarbleStream Behaviour = "garble"
 	// WrongRequestFirst runs the request and sends a response to another request
 	// before the right one. Streams are sent as with Answer.
 	WrongRequestFirst Behaviour = "foreign"
@@ -110,9 +116,11 @@
 	mu          sync.Mutex
 	behaviour   Behaviour
 	runs        map[string]int
-	cancelled   map[string]bool
-	runHeaders  []http.Header
-	runLog      []Run
+	// working holds the requests that a report lists.
+	working    map[string]bool
+	cancelled  map[string]bool
+	runHeaders []http.Header
+	runLog     []Run
 	// crashPart is the prompt part on which the server ends; empty if there is
 	// none. ended is set once it has.
 	crashPart string
@@ -151,7 +159,7 @@
 	}
 	s := &Server{
 		ID: id, Events: 3, headerNames: n, listener: l, behaviour: Answer,
-		runs: make(map[string]int), cancelled: make(map[string]bool), open: make(map[net.Conn]struct{}),
+		runs: make(map[string]int), working: make(map[string]bool), cancelled: make(map[string]bool), open: make(map[net.Conn]struct{}),
 	}
 	go s.run()
 	return s, nil
@@ -303,6 +311,9 @@
 	if _, err := bufio.NewReader(r.Body).WriteTo(requestBody); err != nil {
 		return false
 	}
+	if r.URL.Path == headers.Report {
+		return s.write(c, s.report())
+	}
 	id := r.Header.Get(s.headerNames.Request)
 	s.mu.Lock()
 	behaviour := s.behaviour
@@ -384,6 +395,10 @@
 		return s.write(c, response("200 OK", s.headerNames.Request+": "+id+"\r\n", responseBody))
 	}
 	if streaming {
+		if behaviour == GarbleStream && r.Header.Get(s.headerNames.LastEvent) == "" {
+			s.garble(c, id, header)
+			return false
+		}
 		resumed := r.Header.Get(s.headerNames.LastEvent) != ""
 		return s.stream(c, r, header, streamFaults{
 			truncate: (behaviour == TruncateStream || behaviour == TruncateUnframed) && !resumed,
@@ -394,6 +409,38 @@
 	return s.write(c, response("200 OK", header, responseBody))
 }
 
+// GarbledRunTime is how long a server works on a request after a garbled response.
+const GarbledRunTime = 700 * time.Millisecond
+
+// garble sends one event and bytes that are no chunk, and works on.
+func (s *Server) garble(c net.Conn, id, header string) {
+	s.setWorking(id, true)
+	event := "id: 1\ndata: piece 1\n\n"
+	s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		fmt.Sprintf("%x\r\n%s\r\n", len(event), event)+"no chunk\r\n")
+	time.Sleep(GarbledRunTime)
+	s.setWorking(id, false)
+}
+
+func (s *Server) setWorking(id string, working bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !working {
+		delete(s.working, id)
+		return
+	}
+	s.working[id] = true
+}
+
+// report returns a response that lists the requests of garbled responses that the
+// server works on.
+func (s *Server) report() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := strings.Join(slices.Collect(maps.Keys(s.working)), " ")
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(ids), ids)
+}
+
 func (s *Server) write(c net.Conn, data string) bool {
 	_, err := c.Write([]byte(data))
 	return err == nil
--- a/internal/standin/headers/headers.go
+++ b/internal/standin/headers/headers.go
@@ -111,3 +111,22 @@
 func (Headers) RetryAfter(h http.Header, d time.Duration) {
 	h.Set(Return, d.String())
 }
+
+// Report is the request target of the report of a server.
+const Report = "/galenalatch-report"
+
+// RunReports implements galenalatch.RunReports. A report lists the ids of the running
+// requests, separated by spaces.
+type RunReports struct{}
+
+// Target implements galenalatch.RunReports.
+func (RunReports) Target() string { return Report }
+
+// Runs implements galenalatch.RunReports.
+func (RunReports) Runs(report []byte) ([]galenalatch.RequestID, bool) {
+	var ids []galenalatch.RequestID
+	for id := range strings.FieldsSeq(string(report)) {
+		ids = append(ids, galenalatch.RequestID(id))
+	}
+	return ids, true
+}
