Ask servers for their health while the store does not answer

A server that became cold during an outage of the store got its usual share and crashed, with the requests that it had begun.

Cause: a router learned that a server is cold only from its entry in the store, which the server cannot write then. Its health answers say so, and no router asked.

--- a/headers.go
+++ b/headers.go
@@ -71,6 +71,10 @@
 	InvalidLimit string
 	// Leaving is set when the server says that it takes no new requests.
 	Leaving bool
+	// ColdFor is the time for which the server stays cold; 0 when it told none. Server
+	// is the server that responded. Only answers about health have them.
+	ColdFor time.Duration
+	Server  ServerID
 	// Pause is the time for which the server wants no requests from this router; 0
 	// when it asked for none.
 	Pause time.Duration
--- a/internal/caller/host/signals.go
+++ b/internal/caller/host/signals.go
@@ -16,13 +16,13 @@
 	t.recordLimit(p, head)
 	now := time.Now()
 	// An answer without an id may be of something in front of the server.
-	if head.Leaving && head.ID != "" && t.h.Table.RecordLeaving(now, p) {
+	if head.Leaving && head.ID != "" && t.h.Table.RecordLeaving(now, p.Server, p.Started) {
 		t.h.Events.LeavingAnnounced(p.Server)
 	}
 	if head.Pause <= 0 {
 		return
 	}
-	if until, first := t.h.Table.RecordPause(now, p, head.Pause); first {
+	if until, first := t.h.Table.RecordPause(now, p.Server, p.Started, head.Pause); first {
 		t.h.Events.PauseRequested(p.Server, head.Pause, until.Sub(now))
 	}
 }
--- a/internal/decide/placement/announced.go
+++ b/internal/decide/placement/announced.go
@@ -34,23 +34,29 @@
 // RecordLeaving records that the server has said in an answer that it leaves, and
 // reports whether that was not known. It holds for this process of the server, whatever
 // its entry says later.
-func (t *Table) RecordLeaving(now time.Time, p *Reservation) bool {
+func (t *Table) RecordLeaving(now time.Time, id galenalatch.ServerID, started int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, known := t.leaving[p.server.process()]
-	t.leaving[p.server.process()] = now
-	p.server.leavingAnnounced = true
-	// The entry may have been replaced since the server was chosen.
-	if s, ok := t.servers[p.Server]; ok && s.process() == p.server.process() {
+	_, known := t.leaving[process{id, started}]
+	t.leaving[process{id, started}] = now
+	if s := t.listed(process{id, started}); s != nil {
 		s.leavingAnnounced = true
 	}
 	return !known
 }
 
+// listed returns the server of a process, or nil if it is not listed any more.
+func (t *Table) listed(p process) *server {
+	if s, ok := t.servers[p.id]; ok && s.process() == p {
+		return s
+	}
+	return nil
+}
+
 // expireLeaving forgets the leaving of servers that are not listed any more.
 func (t *Table) expireLeaving(now time.Time) {
 	for process, at := range t.leaving {
-		if s, ok := t.servers[process.id]; ok && s.process() == process {
+		if t.listed(process) != nil {
 			t.leaving[process] = now
 		} else if now.Sub(at) >= leavingMemory {
 			delete(t.leaving, process)
@@ -61,12 +67,12 @@
 // RecordPause records that the server has asked in an answer for a pause. It returns
 // the end of the pause, and whether it is the first request of a pause. A pause is never
 // shortened.
-func (t *Table) RecordPause(now time.Time, p *Reservation, pause time.Duration) (until time.Time, first bool) {
+func (t *Table) RecordPause(now time.Time, id galenalatch.ServerID, started int64, pause time.Duration) (until time.Time, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := p.server
-	if current, ok := t.servers[p.Server]; ok && current.process() == s.process() {
-		s = current
+	s := t.listed(process{id, started})
+	if s == nil {
+		return now, false
 	}
 	first = !now.Before(s.pausedUntil)
 	pause = min(pause, maxPause)
--- a/internal/decide/placement/announced_test.go
+++ b/internal/decide/placement/announced_test.go
@@ -33,9 +33,9 @@
 // Guards against an announcement that is undone by a later entry, by an entry that lapses
 // and comes back, or that counts for another process with the id or the address.
 func TestLeavingIsRemembered(t *testing.T) {
-	table, reservations := newPool("r1", "s1")
-	assert.Assert(t, table.RecordLeaving(start, reservations["s1"]))
-	assert.Assert(t, !table.RecordLeaving(start, reservations["s1"]), "it is news only once")
+	table, _ := newPool("r1", "s1")
+	assert.Assert(t, table.RecordLeaving(start, "s1", 1))
+	assert.Assert(t, !table.RecordLeaving(start, "s1", 1), "it is news only once")
 	assert.Assert(t, !table.Usable(start, "s1"))
 
 	table.Put(start, entryOf("s1"))
@@ -64,7 +64,7 @@
 func TestLeavingIsForgotten(t *testing.T) {
 	table, reservations := newPool("r1", "s1", "s2")
 	for _, p := range reservations {
-		table.RecordLeaving(start, p)
+		table.RecordLeaving(start, p.Server, p.Started)
 	}
 	table.Remove("s1", start)
 	table.Expire(start)
@@ -86,10 +86,12 @@
 			r.Leaving = true
 			t.Put(start, r)
 		}},
-		{LeavingAnnounced, func(t *Table, p *Reservation) { t.RecordLeaving(start, p) }},
+		{LeavingAnnounced, func(t *Table, p *Reservation) { t.RecordLeaving(start, p.Server, p.Started) }},
 		{OutOfService, func(t *Table, p *Reservation) { t.SetOutOfService(start, "a", true) }},
-		{PauseRequested, func(t *Table, p *Reservation) { t.RecordPause(start, p, time.Second) }},
-		{Returning, func(t *Table, p *Reservation) { t.RecordPause(start.Add(-time.Second), p, time.Second*9/10) }},
+		{PauseRequested, func(t *Table, p *Reservation) { t.RecordPause(start, p.Server, p.Started, time.Second) }},
+		{Returning, func(t *Table, p *Reservation) {
+			t.RecordPause(start.Add(-time.Second), p.Server, p.Started, time.Second*9/10)
+		}},
 		{ColdLimit, func(t *Table, p *Reservation) {
 			r := entryOf("s1")
 			r.ColdFor = time.Second
@@ -143,7 +145,7 @@
 				continue
 			}
 			d := time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond
-			table.RecordPause(now, p, d)
+			table.RecordPause(now, p.Server, p.Started, d)
 			table.Release(now, p, rapid.SampledFrom([]Result{Shed, Failed}).Draw(t, "result"))
 			pauses[p.Server] = append(pauses[p.Server], pause{now.Add(reactionTime), now.Add(d)})
 		}
@@ -173,7 +175,7 @@
 	ends := make(map[time.Time]int)
 	for i := range routers {
 		table, reservations := newPool(galenalatch.RouterID(fmt.Sprint("r", i)), "s1")
-		until, _ := table.RecordPause(start, reservations["s1"], pause)
+		until, _ := table.RecordPause(start, "s1", 1, pause)
 		table.Release(start, reservations["s1"], Shed)
 		assert.Assert(t, until.Sub(start) >= pause && until.Sub(start) <= pause+maxReturnSpread)
 		ends[until.Truncate(maxReturnSpread/5)]++
@@ -202,10 +204,10 @@
 // Guards against a server that an absurd pause takes away for good, and against a later
 // request of a shorter pause that ends an earlier one.
 func TestPauseIsBounded(t *testing.T) {
-	table, reservations := newPool("r1", "s1")
-	long, first := table.RecordPause(start, reservations["s1"], 1000*time.Hour)
+	table, _ := newPool("r1", "s1")
+	long, first := table.RecordPause(start, "s1", 1, 1000*time.Hour)
 	assert.Assert(t, first && long.Sub(start) <= maxPause+maxReturnSpread)
-	again, first := table.RecordPause(start, reservations["s1"], time.Second)
+	again, first := table.RecordPause(start, "s1", 1, time.Second)
 	assert.Assert(t, !first)
 	assert.Equal(t, again, long)
 }
--- a/internal/decide/placement/server.go
+++ b/internal/decide/placement/server.go
@@ -49,6 +49,9 @@
 	prefillSince time.Time
 	cache        *simplelru.LRU[uint64, int]
 	coldUntil    time.Time
+	// coldByHealth is the end of the cold time that a health answer has told this
+	// router.
+	coldByHealth time.Time
 	// recentSends are the times at which this router sent requests in the last
 	// second.
 	recentSends []time.Time
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -91,6 +91,8 @@
 	lastAnswer, outageEnd time.Time
 	// listed is set once the list of servers was read.
 	listed atomic.Bool
+	// serversFailed is set while the newest call of the servers' feed has failed.
+	serversFailed atomic.Bool
 }
 
 // New returns a view without a configuration.
@@ -110,6 +112,12 @@
 	return v.listed.Load()
 }
 
+// ServersStale reports whether the store does not tell of changes of the servers: its
+// newest answer was an error, or there was none.
+func (v *View) ServersStale() bool {
+	return v.serversFailed.Load()
+}
+
 // Age returns the age of the newest proof that the configuration is the newest
 // of the store. It reports false when there is no proof yet.
 func (v *View) Age() (time.Duration, bool) {
@@ -216,7 +224,9 @@
 
 func (v *View) readServers(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
 	u, err := v.Store.Servers(ctx, after, wait)
-	if err := feed.CheckVersion(u.Position, seen, err); err != nil {
+	err = feed.CheckVersion(u.Position, seen, err)
+	v.serversFailed.Store(err != nil)
+	if err != nil {
 		return u.Position, err
 	}
 	for _, e := range u.Invalid {
--- a/internal/peer/load/received.go
+++ b/internal/peer/load/received.go
@@ -89,11 +89,14 @@
 	aggregate  share.Aggregate
 	age        time.Duration
 	limits     map[uint32]placement.LimitReport
+	// cold holds the ends of the cold times of servers.
+	cold map[uint32]time.Time
 }
 
 func newLoadSum() *loadSum {
 	return &loadSum{
 		servers: make(map[uint32]placement.Load), workspaces: make(map[uint32]share.Usage), limits: make(map[uint32]placement.LimitReport),
+		cold: make(map[uint32]time.Time),
 	}
 }
 
@@ -108,6 +111,11 @@
 			t.limits[l.Server] = r
 		}
 	}
+	for _, c := range m.Cold {
+		if until := at.Add(time.Duration(c.TenthsLeft) * ageUnit); until.After(t.cold[c.Server]) {
+			t.cold[c.Server] = until
+		}
+	}
 	for _, s := range m.Servers {
 		l := t.servers[s.Server]
 		l.Running += int(s.Running)
@@ -139,6 +147,11 @@
 			AgeTenths: uint16(min(max(now.Sub(r.At), 0)/ageUnit, math.MaxUint16)),
 		})
 	}
+	for k, until := range t.cold {
+		if left := until.Sub(now); left > 0 {
+			m.Cold = append(m.Cold, galenalatch.ColdServer{Server: k, TenthsLeft: uint16(min((left+ageUnit-1)/ageUnit, math.MaxUint16))})
+		}
+	}
 	for k, l := range t.servers {
 		m.Servers = append(m.Servers, galenalatch.ServerLoad{
 			Server: k, Running: clampUint16(l.Running), PrefillMillis: clampUint16(int(l.Prefill / time.Millisecond)),
@@ -167,6 +180,7 @@
 		m.Others = &aggregate
 	}
 	slices.SortFunc(m.Limits, func(a, b galenalatch.ServerLimit) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(m.Cold, func(a, b galenalatch.ColdServer) int { return cmp.Compare(a.Server, b.Server) })
 	slices.SortFunc(m.Servers, func(a, b galenalatch.ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	slices.SortFunc(m.Workspaces, func(a, b galenalatch.WorkspaceUsage) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return m
--- a/internal/peer/load/syncer.go
+++ b/internal/peer/load/syncer.go
@@ -146,6 +146,7 @@
 		t.workspaces[k] = u
 	}
 	t.age, t.limits = s.Ledger.Age(now), s.Table.LocalLimits(now)
+	t.cold = s.Table.LocalCold(now)
 	return t.message(now)
 }
 
@@ -244,6 +245,7 @@
 	t := newLoadSum()
 	t.add(m.at, m.load)
 	s.Table.SetRemoteLimits(now, t.limits)
+	s.Table.SetRemoteCold(now, t.cold)
 	s.Table.SetRemote(now, r, t.servers)
 	s.Ledger.SetRemote(now, r, t.workspaces, t.aggregate, t.age)
 }
--- a/internal/peer/load/syncer_test.go
+++ b/internal/peer/load/syncer_test.go
@@ -218,3 +218,26 @@
 	assert.NilError(t, late.SetPeers(list, topology.New(late.Self, late.DataCentre, list), "token-of-the-fleet"))
 	poll.WaitOn(t, held(late), poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
 }
+
+// Guards against routers that send their usual share to a server which one of them knows
+// to be cold, in their own data centre and in others.
+func TestColdServersAreTold(t *testing.T) {
+	const service, server = "pool", galenalatch.ServerID("s1")
+	peers, list := newPeers(t, topology.MaxFullMesh+2)
+	now := time.Now()
+	for _, p := range peers {
+		assert.NilError(t, p.SetPeers(list, topology.New(p.Self, p.DataCentre, list), "token-of-the-fleet"))
+		p.Table.SetServices(map[string]galenalatch.Service{service: {Name: service, ColdRate: 7}})
+		p.Table.Put(now, galenalatch.Registration{ID: server, Service: service, Address: "s1", DataCentre: "a", Slots: 4, Started: 1})
+	}
+	assert.Assert(t, peers[0].Table.RecordCold(now, server, 1, 20*time.Second))
+	for _, p := range peers[1:] {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			// A cold server takes no requests of routers without a list.
+			if p.Table.ServiceAvailability(time.Now(), service).Reason == placement.ColdLimit {
+				return poll.Success()
+			}
+			return poll.Continue("%s does not know", p.Self)
+		}, poll.WithDelay(10*time.Millisecond))
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/dial"
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
+	"github.com/galenalatch/galenalatch/internal/backend/health"
 	"github.com/galenalatch/galenalatch/internal/caller/host"
 	"github.com/galenalatch/galenalatch/internal/caller/ingress"
 	"github.com/galenalatch/galenalatch/internal/config/gateway"
@@ -79,6 +80,7 @@
 	view          *view.View
 	client        *exchange.Client
 	handler       *host.Handler
+	health        *health.Watcher
 	ingress       *ingress.Server
 	ledger        *share.Ledger
 	quarantine    *quarantine.List
@@ -141,6 +143,7 @@
 		Dial: dial.Dialer{Silence: serverSilence}.DialContext, Headers: platform.Headers{},
 		DialTimeout: dialTimeout, ProbeTimeout: probeTimeout, MaxIdle: maxIdlePerServer, OnDial: g.metrics.dials.Inc,
 	})
+	g.health = health.New(health.Options{Table: g.table, Client: g.client, Headers: platform.Headers{}, Stale: g.view.ServersStale, Events: obs})
 	g.handler = host.New(host.Options{
 		View: g.view, Table: g.table, Client: g.client, Headers: platform.Headers{}, Reports: platform.RunReports{}, Events: obs,
 		MaxProofAge:  s.KeyRemoval.Std() - proofMargin,
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -13,7 +13,7 @@
 )
 
 // observer logs the events of the gateway's components and updates the metrics.
-// It implements view.Events, host.Events and feed.Events.
+// It implements view.Events, host.Events, health.Events and feed.Events.
 type observer struct {
 	log     *events.Log
 	metrics *gatewayMetrics
@@ -145,6 +145,11 @@
 	o.log.Event(events.LeavingAnnounced, "server", s, "reason", placement.LeavingAnnounced)
 }
 
+// ColdByHealth implements health.Events.
+func (o observer) ColdByHealth(s galenalatch.ServerID, d time.Duration) {
+	o.log.Event(events.ColdByHealth, "server", s, "coldFor", roundToMillis(d))
+}
+
 // PauseRequested implements host.Events.
 func (o observer) PauseRequested(s galenalatch.ServerID, asked, wait time.Duration) {
 	o.log.Event(events.PauseRequested, "server", s, "reason", placement.PauseRequested, "asked", roundToMillis(asked), "wait", roundToMillis(wait))
--- a/internal/standin/headers/headers.go
+++ b/internal/standin/headers/headers.go
@@ -37,6 +37,9 @@
 	// Limit is the number of requests per second that the server takes from all
 	// routers together.
 	Limit = "Galenalatch-Limit"
+	// Cold is the time for which a server stays cold, in answers about its health, in the
+	// format of time.ParseDuration.
+	Cold = "Galenalatch-Cold"
 	// Leaving is set in all responses of a server that leaves.
 	Leaving = "Galenalatch-Leaving"
 	// Return is the time after which a refused caller may retry, in the
@@ -90,7 +93,9 @@
 	limit, err := strconv.ParseFloat(h.Get(Limit), 64)
 	// Without a valid time there is no pause.
 	pause, _ := time.ParseDuration(h.Get(Return))
+	cold, _ := time.ParseDuration(h.Get(Cold))
 	return galenalatch.ResponseHead{
+		Server: galenalatch.ServerID(h.Get(Server)), ColdFor: max(cold, 0),
 		Leaving: h.Get(Leaving) != "", Pause: max(pause, 0),
 		Limit: limit, Limited: err == nil,
 		ID: galenalatch.RequestID(h.Get(Request)), Sealed: h.Get(Seal) != "", NotRun: h.Get(NotRun) != "",
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -66,6 +66,7 @@
 	RequestPanicked        Number = 8009
 	LeavingAnnounced       Number = 8010
 	PauseRequested         Number = 8011
+	ColdByHealth           Number = 8012
 	ConfigurationApplied   Number = 8101
 	DataCentreOutOfService Number = 8102
 	DataCentreReturned     Number = 8103
@@ -235,6 +236,8 @@
 	PauseRequested: {log.InfoLevel, "server requested pause",
 		"A backend server answered 503 with a time (`asked`) for which it wants no requests of this router. `wait` is that time and a part that differs between routers.",
 		"When servers ask for pauses often, the service needs more servers. While all of them pause, requests are refused with 8003."},
+	ColdByHealth: {log.InfoLevel, "server cold by its health",
+		"A backend server became cold while the store did not respond, and said so when this router asked for its health. The other routers are told.", none},
 	ConfigurationApplied: {log.InfoLevel, "configuration applied",
 		"A newer version of the configuration replaced the previous one.", none},
 	DataCentreOutOfService: {log.InfoLevel, "data centre out", "Operators took a data centre out of service. Its backend servers get no new requests.", none},
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -56,6 +56,17 @@
 	AgeTenths uint8 `cbor:"a,omitempty"`
 	// Limits tells which servers name a limit or have ceased to.
 	Limits []ServerLimit `cbor:"l,omitempty"`
+	// Cold are the servers of which health answers have told that they are cold.
+	Cold []ColdServer `cbor:"c,omitempty"`
+}
+
+// ColdServer is a server that is cold by its health answer.
+type ColdServer struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's id and start.
+	Server uint32
+	// TenthsLeft is for how long it stays cold, in tenths of a second.
+	TenthsLeft uint16
 }
 
 // ServerLimit is what a server's answer has told about its limit.
