Inject announcements and pauses in the soak

Servers of the soak announce their leaving in answers alone, and ask for pauses, beside the faults. The soak checks for each gateway that no request sent later than 2 s after it has passed on an announcement reaches that server, unless it was started or signalled since.

--- a/cmd/galenalatch/soak_clients_test.go
+++ b/cmd/galenalatch/soak_clients_test.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/platform/standin"
 )
 
@@ -25,6 +26,11 @@
 	at   time.Time
 	// status is 0 if there was no response.
 	status int
+	// gateway is the index of the gateway. server is the one that responded, answered
+	// when the head of its response came.
+	gateway  int
+	server   galenalatch.ServerID
+	answered time.Time
 }
 
 // soakClients sends requests continuously and checks the responses.
@@ -98,7 +104,7 @@
 	r.Header.Set(standin.Request, id)
 	r.Header.Set(standin.Deadline, "3000")
 	r.Header.Set(standin.Key, standin.KeyScheme+key)
-	s := sentRequest{path: path, key: key, at: time.Now()}
+	s := sentRequest{path: path, key: key, at: time.Now(), gateway: gateway % len(c.fleet.gateways)}
 	c.record(id, s)
 	c.total.Add(1)
 	a, err := transport.RoundTrip(r)
@@ -106,6 +112,7 @@
 		c.other.Add(1)
 		return false
 	}
+	s.answered, s.server = time.Now(), galenalatch.ServerID(strings.TrimPrefix(a.Header.Get(standin.HeaderNames.Seal), "seal-of-"))
 	body, err := io.ReadAll(a.Body)
 	_ = a.Body.Close()
 	s.status = a.StatusCode
--- a/cmd/galenalatch/soak_faults_test.go
+++ b/cmd/galenalatch/soak_faults_test.go
@@ -140,8 +140,9 @@
 }
 
 // inject starts faults at random times for d. The faults have random durations
-// and overlap.
-func (f *soakFleet) inject(random *rand.Rand, d time.Duration) {
+// and overlap, also with signals of the servers.
+func (f *soakFleet) inject(random *rand.Rand, signals *soakSignals, d time.Duration) {
+	defer signals.end()
 	var active []activeFault
 	stop := time.Now().Add(d)
 	for time.Now().Before(stop) {
@@ -155,6 +156,7 @@
 			active = append(active, activeFault{time.Now().Add(time.Duration(200+random.IntN(2500)) * time.Millisecond), i, end})
 		}
 		time.Sleep(time.Duration(50+random.IntN(350)) * time.Millisecond)
+		signals.step(time.Now())
 		active = slices.DeleteFunc(active, func(e activeFault) bool {
 			if time.Now().Before(e.at) {
 				return false
--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -47,6 +47,8 @@
 	command   *exec.Cmd
 	ended     chan error
 	paused    bool
+	// disruptions are the times of its starts and of signals other than SIGHUP.
+	disruptions []time.Time
 }
 
 // backendServer is a stand-in of a backend server behind a proxy. Each start
@@ -71,7 +73,9 @@
 	engine        bool
 	targetLatency time.Duration
 	faultLog      []string
-	errors        []string
+	// announced holds the servers that have announced their leaving, with the time.
+	announced map[*backend.Server]time.Time
+	errors    []string
 
 	mu          sync.Mutex
 	servers     []*backend.Server
@@ -83,7 +87,7 @@
 }
 
 func newSoakFleet(t *testing.T, gateways int) *soakFleet {
-	f := &soakFleet{t: t, dir: t.TempDir(), coldUntil: make(map[galenalatch.ServerID]time.Time), removedKeys: make(map[string]time.Time)}
+	f := &soakFleet{t: t, dir: t.TempDir(), coldUntil: make(map[galenalatch.ServerID]time.Time), announced: make(map[*backend.Server]time.Time), removedKeys: make(map[string]time.Time)}
 	var err error
 	f.store, err = standin.NewStore()
 	assert.NilError(t, err)
@@ -166,6 +170,7 @@
 	// The kernel kills the process when the test binary dies.
 	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(f.t, g.command.Start())
+	g.disruptions = append(g.disruptions, time.Now())
 	g.ended, g.paused = make(chan error, 1), false
 	go g.run(log)
 }
@@ -214,6 +219,9 @@
 }
 
 func (f *soakFleet) signal(g *gatewayProcess, s syscall.Signal) {
+	if s != syscall.SIGHUP {
+		g.disruptions = append(g.disruptions, time.Now())
+	}
 	// The process may have ended already.
 	_ = g.command.Process.Signal(s)
 }
--- a/cmd/galenalatch/soak_test.go
+++ b/cmd/galenalatch/soak_test.go
@@ -70,15 +70,16 @@
 	for i := range 2 * *soakGateways {
 		c.group.Go(func() error { return c.loop(ctx, i) })
 	}
-	f.inject(random, *soakDuration)
+	f.inject(random, newSoakSignals(f, seed), *soakDuration)
 	f.clearFaults()
 	time.Sleep(soakRecovery)
 	c.requireServed.Store(true)
 	time.Sleep(soakRecovery / 2)
 	cancel()
 	assert.NilError(t, c.group.Wait())
+	violations := c.checkLeaving()
 	f.stopGateways()
-	violations := append(c.checkRequests(), f.checkServers()...)
+	violations = append(violations, append(c.checkRequests(), f.checkServers()...)...)
 	t.Logf("seed %d: %d requests, %d served, %d refused, %d others; after recovery: %d of %d served; faults: %s",
 		seed, c.total.Load(), c.served.Load(), c.refused.Load(), c.other.Load(), c.recoveryServed.Load(), c.recovery.Load(), strings.Join(f.faultLog, ", "))
 	if len(violations) > 0 {
