--- a/internal/caller/host/crashing_prompt_test.go
+++ b/internal/caller/host/crashing_prompt_test.go
@@ -52,3 +52,29 @@
 	assert.Equal(t, last.status, http.StatusServiceUnavailable, strings.Join(f.events.lines, "\n"))
 	assert.Equal(t, last.header.Get(headers.Return), "", "a return must fail again")
 }
+
+// Guards against a request that ends its server, and then others by its retries: also one
+// whose prompt has no part in common with others, which is never held back.
+func TestRequestThatEndsItsServer(t *testing.T) {
+	for _, prompt := range []string{"deadly:10", "common:100 deadly:10"} {
+		t.Run(prompt, func(t *testing.T) {
+			f := newFixture(t, configuration())
+			f.addServer(t)
+			f.addServer(t)
+			for _, s := range f.servers {
+				s.CrashOn("deadly")
+			}
+			a := f.call(t.Context(), "POST", "/stream/1", "deadly", "", headers.Prompt, prompt)
+			assert.Equal(t, a.status, http.StatusBadGateway)
+			ended := 0
+			for _, s := range f.servers {
+				if s.Ended() {
+					ended++
+				}
+			}
+			assert.Equal(t, ended, 1)
+			sound := f.call(t.Context(), "POST", "/stream/1", "sound", "", headers.Prompt, "common:100 sound:10")
+			assert.Equal(t, sound.status, http.StatusOK, "a sound request of the same kind")
+		})
+	}
+}
--- a/internal/caller/host/interruption.go
+++ b/internal/caller/host/interruption.go
@@ -67,11 +67,10 @@
 
 // interruption describes an exchange that broke off.
 func (t *transaction) interruption(ctx context.Context, p *placement.Reservation) Interruption {
-	parts := t.sharedParts()
-	if t.headSent || len(parts) == 0 {
+	if t.headSent || len(t.call.Prompt) == 0 {
 		return Interruption{}
 	}
-	return Interruption{Parts: parts, Begun: t.begun, ServerEnded: t.serverEnded(ctx, p)}
+	return Interruption{Parts: t.sharedParts(), Begun: t.begun, ServerEnded: t.serverEnded(ctx, p)}
 }
 
 // serverEnded reports whether the process of a server has ended without a plan. A
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -73,7 +73,7 @@
 	}
 	o.metrics.attempts.WithLabelValues("failed").Inc()
 	i := d.Interruption
-	if len(i.Parts) == 0 {
+	if len(i.Parts) == 0 && !i.ServerEnded {
 		o.log.Event(events.AttemptEnded, "request", r, "server", d.Server, "attempt", d.Attempt, "status", status, "error", err)
 		return
 	}
