Mark a connection as in use when its request reaches the handler

A request that was read together with the one before, and waits in the buffer of net/http, left its connection marked as waiting. The shutdown then ended its read, and net/http waited without end for a read deadline that was not set.

Change: the mark is cleared when a request reaches the handler.

--- a/internal/caller/ingress/interleaved_test.go
+++ b/internal/caller/ingress/interleaved_test.go
@@ -77,3 +77,30 @@
 		})
 	}
 }
+
+// Guards against a shutdown that takes the connection of a running request for an unused
+// one, because the request was read together with the one before.
+func TestPipelinedRequestIsRunning(t *testing.T) {
+	began, finish := make(chan context.Context), make(chan struct{})
+	s, address := newServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			began <- r.Context()
+			<-finish
+		}
+	})
+	c := dial(t, address)
+	_, err := io.WriteString(c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	running := <-began
+	s.endUnused(time.Now().Add(newConnGrace))
+	time.Sleep(2 * shutdownInterval)
+	assert.NilError(t, running.Err(), "the request counts as one whose caller has left")
+	close(finish)
+	answers := bufio.NewReader(c)
+	for range 2 {
+		a, err := http.ReadResponse(answers, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, a.StatusCode, http.StatusOK)
+		assert.NilError(t, a.Body.Close())
+	}
+}
--- a/internal/caller/ingress/server.go
+++ b/internal/caller/ingress/server.go
@@ -210,6 +210,11 @@
 	if s.MaxConnections > 0 && float64(s.openConns.Load()) > closeThreshold*float64(s.MaxConnections) {
 		w.Header().Set("Connection", "close")
 	}
+	if c, ok := r.Context().Value(connectionKey{}).(*callerConn); ok {
+		// A request that its caller has sent before the answer to the last one may have
+		// been read with that. An error means that the connection is closed.
+		_ = c.beginRequest(nil)
+	}
 	if !s.refuseLate(w) {
 		s.Handler.ServeHTTP(w, r)
 	}
