--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +26,8 @@
 	// Garbled is set when the worker spoiled the answer.
 	Garbled bool
 	Events  int
+	// LastEvent is the value of Last-Event-Id.
+	LastEvent string
 }
 
 // Worker is a stand-in of a model engine. It prefills, makes events at a steady pace and
@@ -43,6 +46,13 @@
 	// answer are sent in its place. The worker does not notice that the connection closes
 	// then and works on.
 	Spoil func(id string) bool
+	// LineEnd ends the lines of events; empty selects a line feed. text/event-stream also
+	// allows a carriage return, and both.
+	LineEnd string
+	// BreakOff, if set, reports whether the first answer to a request is broken off after
+	// BreakAfter events.
+	BreakOff   func(id string) bool
+	BreakAfter int
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -140,7 +150,7 @@
 
 // stream runs a request and answers with events.
 func (w *Worker) stream(c net.Conn, b *bufio.Reader, r *http.Request, id string) bool {
-	run := &Run{Worker: w.ID, ID: id, From: c.RemoteAddr().String(), Arrived: time.Now(), Garbled: w.Spoil != nil && w.Spoil(id)}
+	run := &Run{Worker: w.ID, ID: id, From: c.RemoteAddr().String(), Arrived: time.Now(), LastEvent: r.Header.Get("Last-Event-Id"), Garbled: w.Spoil != nil && w.Spoil(id)}
 	w.mu.Lock()
 	w.runs = append(w.runs, run)
 	w.mu.Unlock()
@@ -174,9 +184,11 @@
 	if !write(c, head) {
 		return false
 	}
+	// An id that the worker cannot have given names no event: it begins with the first.
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	breaks := last == 0 && w.BreakOff != nil && w.BreakOff(id)
 	for i := last + 1; i <= w.Events; i++ {
-		event := fmt.Sprintf("id: %d\ndata: %s event %d of %d\n\n", i, id, i, w.Events)
+		event := strings.ReplaceAll(fmt.Sprintf("id: %d\ndata: %s event %d of %d\n\n", i, id, i, w.Events), "\n", cmp.Or(w.LineEnd, "\n"))
 		if !w.Unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
@@ -186,6 +198,9 @@
 		w.mu.Lock()
 		run.Events = i
 		w.mu.Unlock()
+		if breaks && i == w.BreakAfter {
+			return false
+		}
 	}
 	if w.Unframed {
 		return false
