--- a/review/rig2/gateway.go
+++ b/review/rig2/gateway.go
@@ -21,6 +21,8 @@
 	Ready   string
 	peer    string
 	metrics string
+	binary  string
+	dir     string
 	command *exec.Cmd
 	log     *os.File
 	ended   chan error
@@ -64,29 +66,46 @@
 		}
 		*a = address
 	}
-	path := filepath.Join(dir, id+".json")
+	g.binary, g.dir = binary, dir
 	text := fmt.Sprintf(settingsFormat, id, zone, g.Caller, g.Ready, g.peer, g.metrics, store)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(g.path(), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(dir, id+".log"))
+	return g, g.start()
+}
+
+func (g *Gateway) path() string { return filepath.Join(g.dir, g.ID+".json") }
+
+// start starts the process with the settings of the gateway.
+func (g *Gateway) start() error {
+	log, err := os.OpenFile(filepath.Join(g.dir, g.ID+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	g.log = log
-	g.command = exec.Command(binary, "gateway")
+	g.command = exec.Command(g.binary, "gateway")
 	// A machine of a small deployment has one core.
-	g.command.Env = append(os.Environ(), "GALENALATCH_BOOT="+path, "GOMAXPROCS=1")
+	g.command.Env = append(os.Environ(), "GALENALATCH_BOOT="+g.path(), "GOMAXPROCS=1")
 	g.command.Stdout, g.command.Stderr = log, log
 	// The kernel ends the process with the script.
 	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.command.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	go g.run()
-	return g, nil
+	return nil
 }
 
+// Kill ends the process at once, and Restart starts it again.
+func (g *Gateway) Kill() {
+	_ = g.Signal(syscall.SIGKILL)
+	<-g.ended
+	_ = g.log.Close()
+}
+
+// Restart starts the process again after Kill.
+func (g *Gateway) Restart() error { return g.start() }
+
 // run waits for the end of the process.
 func (g *Gateway) run() { g.ended <- g.command.Wait() }
 
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -40,8 +40,9 @@
 	Events          int
 	// ReportLag is the age of what a report says.
 	ReportLag time.Duration
-	// Unframed answers have neither a length nor chunks.
-	Unframed bool
+	// Unframed, if set, reports whether the answer to a request has neither a length nor
+	// chunks.
+	Unframed func(id string) bool
 	// Spoil, if set, reports whether the answer to a request is spoiled: bytes that are no
 	// answer are sent in its place. The worker does not notice that the connection closes
 	// then and works on.
@@ -175,8 +176,9 @@
 		_ = pause(time.Duration(w.Events)*w.Gap, gone)
 		return false
 	}
+	unframed := w.Unframed != nil && w.Unframed(id)
 	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: seal-" + w.ID + "\r\nContent-Type: text/event-stream\r\n"
-	if w.Unframed {
+	if unframed {
 		head += "Connection: close\r\n\r\n"
 	} else {
 		head += "Transfer-Encoding: chunked\r\n\r\n"
@@ -189,7 +191,7 @@
 	breaks := last == 0 && w.BreakOff != nil && w.BreakOff(id)
 	for i := last + 1; i <= w.Events; i++ {
 		event := strings.ReplaceAll(fmt.Sprintf("id: %d\ndata: %s event %d of %d\n\n", i, id, i, w.Events), "\n", cmp.Or(w.LineEnd, "\n"))
-		if !w.Unframed {
+		if !unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
 		if !write(c, event) || i < w.Events && !pause(w.Gap, gone) {
@@ -202,7 +204,7 @@
 			return false
 		}
 	}
-	if w.Unframed {
+	if unframed {
 		return false
 	}
 	// The goroutine that watches has the reader, so that the connection ends here.
