Reject a body without length whose connection broke during the upload

Callers saw a part of an answer as a whole one.

Cause: the kernel reports a reset once. A write that waits takes the error, and the next read then finds the end of the connection, as if the server had closed it in order. The end of a body without length was believed without a look at the upload.

Change: package exchange has a type for the upload and one for a body that ends with its connection. At the end of such a body the upload is stopped, and the body is whole only if no write has met a broken connection. EPIPE is none: it says that the server had closed its side before, so that all that it sent has arrived. A timeout of the connection counts like a reset.

Evidence: TestResetDuringUpload fails on the code before in its five cases without a length (the four with a length or chunks passed).

The path of the router was sound: it takes no body without length (TestResetDuringUpload and TestAnswerBeforeUpload in package service, which passed before).

--- a/internal/backend/exchange/client.go
+++ b/internal/backend/exchange/client.go
@@ -102,14 +102,9 @@
 			return nil, &NotSentError{Err: err, Checked: true}
 		}
 	}
-	a := &Response{connection: k, client: c, request: r, writeDone: make(chan error, 1)}
+	a := &Response{connection: k, client: c, request: r}
 	a.stopAbort = context.AfterFunc(ctx, k.abort)
-	if len(r.Body) == 0 {
-		a.writeDone <- k.write(r)
-	} else {
-		// The server may respond before it has read the body.
-		go a.run()
-	}
+	a.upload = startUpload(k, r)
 	if err := a.readResponse(r); err != nil {
 		a.Abort()
 		if ctx.Err() != nil {
--- a/internal/backend/exchange/response.go
+++ b/internal/backend/exchange/response.go
@@ -20,9 +20,6 @@
 	// maxForeignResponses is the number of responses to other requests that
 	// are skipped before the exchange fails.
 	maxForeignResponses = 2
-	// writeWait is how long Close waits for the request to be written
-	// completely.
-	writeWait = 20 * time.Millisecond
 )
 
 // Response is the response of a backend server. The caller must call Close
@@ -31,7 +28,8 @@
 	Status int
 	Header http.Header
 	Head   galenalatch.ResponseHead
-	// Body returns an error other than io.EOF when the response is cut off.
+	// Body returns an error other than io.EOF when the response is cut off. A body that
+	// ends with the connection is cut off unless the server has closed it in order.
 	Body io.Reader
 	// Length is the announced length of the body in bytes, or -1 if unknown.
 	Length int64
@@ -40,16 +38,11 @@
 	response   *http.Response
 	client     *Client
 	request    *Request
-	writeDone  chan error
+	upload     *upload
 	stopAbort  func() bool
 	closed     bool
 }
 
-// run writes the request while Send waits for the response.
-func (a *Response) run() {
-	a.writeDone <- a.connection.write(a.request)
-}
-
 // readResponse reads the head of the response with the id of the request. It
 // skips a bounded number of responses to other requests. On a new connection it
 // accepts one without an id that states that the request was not run; on a used one
@@ -65,6 +58,9 @@
 		if head.ID == r.ID || head.ID == "" && !head.Sealed && head.NotRun && !a.connection.used {
 			a.Status, a.Header, a.Head, a.response = response.StatusCode, response.Header, head, response
 			a.Body, a.Length = response.Body, response.ContentLength
+			if a.CloseDelimited() {
+				a.Body = &delimitedBody{response.Body, a.upload}
+			}
 			return nil
 		}
 		a.connection.dirty = true
@@ -89,7 +85,7 @@
 		return
 	}
 	a.closed = true
-	err := a.waitWritten()
+	err := a.upload.wait()
 	stopped := a.stopAbort()
 	k := a.connection
 	if !stopped || err != nil || a.response.Close || a.CloseDelimited() || k.dirty || k.reader.Buffered() > 0 {
@@ -101,25 +97,6 @@
 	a.client.putIdle(a.request.Server, k)
 }
 
-// waitWritten waits up to writeWait until the request is written completely.
-// The response can be read before the goroutine that writes the request is
-// scheduled again.
-func (a *Response) waitWritten() error {
-	select {
-	case err := <-a.writeDone:
-		return err
-	default:
-	}
-	limit := time.NewTimer(writeWait)
-	defer limit.Stop()
-	select {
-	case err := <-a.writeDone:
-		return err
-	case <-limit.C:
-		return errors.New("the server responded before the request was written completely")
-	}
-}
-
 // Discard reads a short body to its end, so that the connection can be reused.
 // It closes the connection when the body is long or arrives slowly.
 func (a *Response) Discard() {
