Reject responses with an invalid status line wherever they are read

Callers got an answer after one with the status 000: a worker in trouble sent such a head, and a sound one behind it. Elsewhere the status 000 was taken for a result: by operators' commands for a change that is made, by the client of reports for a load.

Cause: net/http reads any three characters that strconv.Atoi takes as a status, also 000 and +20. The client of the gateway skipped all statuses below 200 as interim ones. Clients of http.Transport return them.

Change: package head checks the bytes of a head as they are read: the version is 1.x, the status has three digits between 100 and 599, and the line has no control byte. The client of the gateway uses it directly; package transport puts it in front of http.Transport for all other clients: engines, plain services, reports, the platform's table and store, peers, operators' commands and the load tool. A status 101 that nobody asked for is an error, too. Over TLS only the parsed status is checked.

The writer of the router's answers rejects a status below 200, so that callers of that path got an error for 000 before (by reading the code, not by a run).

--- a/internal/backend/connection/connection.go
+++ b/internal/backend/connection/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
 // Connection is a connection to one process of a backend server. It carries one
@@ -21,7 +22,7 @@
 	pool      *Pool
 	address   string
 	boot      galenalatch.BootID
-	transport *http.Transport
+	transport *transport.Transport
 	conn      *countingConn
 	expiry    *time.Timer
 }
--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/report"
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
 // Defaults of a Pool.
@@ -154,7 +155,7 @@
 	c := &Connection{pool: p, address: address}
 	c.conn = &countingConn{Conn: raw, onClose: c.closeIdle}
 	var once sync.Once
-	c.transport = &http.Transport{
+	t := &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			err := errRedial
 			once.Do(func() { err = nil })
@@ -168,7 +169,8 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		Protocols:              new(http.Protocols),
 	}
-	c.transport.Protocols.SetHTTP1(true)
+	t.Protocols.SetHTTP1(true)
+	c.transport = transport.New(t)
 	checking, cancelCheck := context.WithTimeout(ctx, p.checkTimeout)
 	defer cancelCheck()
 	if err := c.check(checking); err != nil {
--- a/internal/backend/exchange/connection.go
+++ b/internal/backend/exchange/connection.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/galenalatch/galenalatch/internal/http1/head"
 )
 
 const (
@@ -38,6 +40,8 @@
 	// maxHeadBytes.
 	readingHead   bool
 	headBytesLeft int
+	// checker checks the bytes of a head.
+	checker head.Checker
 	// dirty is set when a response to another request was received. Such a
 	// connection is not reused.
 	dirty bool
@@ -55,7 +59,8 @@
 }
 
 // Read fills the buffer of reader. While a head is read it fails after
-// maxHeadBytes, so that a head without end cannot use up the memory.
+// maxHeadBytes, so that a head without end cannot use up the memory, and when the head is
+// not valid.
 func (k *connection) Read(b []byte) (int, error) {
 	if !k.readingHead {
 		return k.Conn.Read(b)
@@ -65,6 +70,9 @@
 	}
 	n, err := k.Conn.Read(b[:min(len(b), k.headBytesLeft)])
 	k.headBytesLeft -= n
+	if invalid := k.checker.Check(b[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
@@ -72,17 +80,31 @@
 func (k *connection) readHead(method string) (*http.Response, error) {
 	k.readingHead = true
 	defer func() { k.readingHead = false }()
+	if err := k.checkBuffered(); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(k.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, head.CheckFinal(response.StatusCode)
 		}
 	}
 }
 
+// checkBuffered begins the check of a head with the bytes of it that were read together
+// with an earlier response.
+func (k *connection) checkBuffered() error {
+	k.checker.Begin()
+	buffered, err := k.reader.Peek(k.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return k.checker.Check(buffered)
+}
+
 // abort closes the connection. An error of Close has no effect on an exchange
 // that has ended.
 func (k *connection) abort() {
--- /dev/null
+++ b/internal/backend/report/broken_report_test.go
@@ -0,0 +1,37 @@
+package report
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/galenalatch/galenalatch/internal/standin/broken"
+)
+
+const (
+	pageFields = "Content-Type: text/plain\r\n"
+	page       = startTimeMetric + " 1\n" + runningMetric + " 7\n" + waitingMetric + " 0\n"
+)
+
+// expectNoReport expects an error for each of the answers.
+func expectNoReport(t *testing.T, answers []broken.Answer) {
+	t.Helper()
+	for _, a := range answers {
+		s, err := broken.New(broken.CloseWrite, broken.Sound(pageFields, page), a.Bytes)
+		assert.NilError(t, err)
+		c := New()
+		_, err = c.Report(t.Context(), s.Address())
+		assert.NilError(t, err)
+		// A read on a kept connection may be repeated on a new one.
+		s.SetAnswers(a.Bytes)
+		l, err := c.Report(t.Context(), s.Address())
+		assert.Assert(t, err != nil, "%s: %+v", a.Name, l)
+		assert.NilError(t, s.Close())
+	}
+}
+
+// Guards against a load that is read from a report with the status 000, or with another
+// broken status line.
+func TestBrokenStatus(t *testing.T) {
+	expectNoReport(t, broken.BrokenStatus(pageFields, page))
+}
--- a/internal/backend/report/client.go
+++ b/internal/backend/report/client.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,8 @@
 	"github.com/galenalatch/galenalatch"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
+
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
 // MetricsPath is the path of the metrics page. StartTimePath requests the
@@ -67,13 +70,8 @@
 // New returns a client.
 func New(opts ...Option) *Client {
 	c := &Client{http: &http.Client{
-		Timeout: defaultTimeout,
-		Transport: &http.Transport{
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    1,
-			IdleConnTimeout:        time.Minute,
-			MaxResponseHeaderBytes: 64 << 10,
-		},
+		Timeout:   defaultTimeout,
+		Transport: newTransport((&net.Dialer{}).DialContext),
 		// A page at another address belongs to another process.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -83,6 +81,17 @@
 	return c
 }
 
+// newTransport returns a transport that opens connections with dial.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) http.RoundTripper {
+	return transport.New(&http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: 64 << 10,
+	})
+}
+
 // Report returns the load of the server at address, which is host:port. Errors
 // are of KindBadRequest when address is invalid, and otherwise of
 // KindServerUnreachable, also for a page without a metric of running requests.
--- a/internal/backend/report/endless_test.go
+++ b/internal/backend/report/endless_test.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -26,8 +25,7 @@
 			s, err := endless.New(tt.start, tt.piece)
 			assert.NilError(t, err)
 			defer func() { assert.NilError(t, s.Close()) }()
-			c := New(WithTimeout(10 * time.Second))
-			c.http.Transport.(*http.Transport).DialContext = s.Dial
+			c := New(WithTimeout(10*time.Second), WithTransport(newTransport(s.Dial)))
 			start := time.Now()
 			_, err = c.Report(t.Context(), s.Address())
 			assert.Assert(t, err != nil)
--- a/internal/backend/service/broken_answer_test.go
+++ b/internal/backend/service/broken_answer_test.go
@@ -64,3 +64,26 @@
 		}
 	}
 }
+
+const brokenFields = "X-Request-Id: r-1\r\n"
+
+// expectNothing expects that nothing of the answers is passed on.
+func expectNothing(t *testing.T, answers []broken.Answer) {
+	t.Helper()
+	for _, a := range answers {
+		s, err := broken.New(broken.CloseWrite, startTime, a.Bytes)
+		assert.NilError(t, err)
+		var r recorder
+		_, err = newClient(t).Run(t.Context(), newAttempt(s.Address(), "1", "r-1", ""), &r)
+		assert.Assert(t, err != nil, "%s: the answer is accepted", a.Name)
+		assert.Assert(t, galenalatch.OutcomeOf(err) != galenalatch.NotRun, "%s: %v", a.Name, err)
+		assert.Equal(t, r.heads, 0, "%s: status %d", a.Name, r.status)
+		assert.NilError(t, s.Close())
+	}
+}
+
+// Guards against the answer of a server in trouble that is passed on: its status is 000,
+// or its status line is broken in another way.
+func TestBrokenStatus(t *testing.T) {
+	expectNothing(t, broken.BrokenStatus(brokenFields, "body"))
+}
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 	"github.com/galenalatch/galenalatch/internal/load/audit"
 	"github.com/galenalatch/galenalatch/internal/load/plan"
 	"github.com/galenalatch/galenalatch/internal/load/result"
@@ -30,11 +31,11 @@
 // New returns a generator that records each call in r and each request that was
 // reported as not run in a.
 func New(p plan.Plan, r *result.Results, a *audit.Audit) *Generator {
-	return &Generator{plan: p, results: r, audit: a, client: &http.Client{Transport: &http.Transport{
+	return &Generator{plan: p, results: r, audit: a, client: &http.Client{Transport: transport.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
-	}}}
+	})}}
 }
 
 // Run makes the calls and returns when all have ended. Calls that have started
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -16,6 +16,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 	"github.com/galenalatch/galenalatch/internal/operator/message"
 	"github.com/galenalatch/galenalatch/internal/operator/status"
 )
@@ -40,13 +41,13 @@
 		base = "http://" + base
 	}
 	h := &http.Client{
-		Transport: &http.Transport{
+		Transport: transport.New(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: 3 * time.Second}).DialContext,
 			ForceAttemptHTTP2: true,
 			// A client makes few calls, and idle connections would stay
 			// open after its last use.
 			DisableKeepAlives: true,
-		},
+		}),
 		// A redirect would carry the token to another address.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/peer/link/handshake.go
+++ b/internal/peer/link/handshake.go
@@ -15,6 +15,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 	"github.com/galenalatch/galenalatch/internal/peer/wire"
 )
 
@@ -114,7 +115,7 @@
 	s.peer.mu.Lock()
 	address := s.peer.address
 	s.peer.mu.Unlock()
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: transport.New(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := m.DialContext(ctx, network, address)
 			if err != nil {
@@ -126,7 +127,7 @@
 		// The transport is used for one dial only; a refused connection must
 		// not stay open.
 		DisableKeepAlives: true,
-	}}
+	})}
 	header := http.Header{}
 	header.Set("Authorization", "Bearer "+m.Token)
 	header.Set(routerHeader, string(m.Self))
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -18,6 +19,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
 const (
@@ -65,9 +67,7 @@
 	c := &Client{
 		base: sling.New().Base(strings.TrimSuffix(base, "/") + "/"),
 		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			Transport: newTransport((&net.Dialer{}).DialContext),
 			// A redirected write could be sent twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -79,6 +79,13 @@
 	return c, nil
 }
 
+// newTransport returns a transport that opens connections with dial.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) http.RoundTripper {
+	return transport.New(&http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
+	})
+}
+
 // Request is one HTTP request to the platform.
 type Request struct {
 	Method string
--- a/internal/platform/httpclient/client_test.go
+++ b/internal/platform/httpclient/client_test.go
@@ -18,9 +18,8 @@
 		s, err := endless.New(start, "x")
 		assert.NilError(t, err)
 		defer func() { assert.NilError(t, s.Close()) }()
-		c, err := New("http://"+s.Address(), WithTimeout(10*time.Second))
+		c, err := New("http://"+s.Address(), WithTimeout(10*time.Second), WithTransport(newTransport(s.Dial)))
 		assert.NilError(t, err)
-		c.client.Transport.(*http.Transport).DialContext = s.Dial
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		_, err = c.Do(ctx, Request{Method: http.MethodGet, Path: "rows"})
--- a/internal/standin/broken/server.go
+++ b/internal/standin/broken/server.go
@@ -32,10 +32,10 @@
 type Server struct {
 	listener net.Listener
 	ending   Ending
-	answers  []string
 	group    sync.WaitGroup
 
 	mu       sync.Mutex
+	answers  []string
 	requests int
 	open     map[net.Conn]struct{}
 }
@@ -55,6 +55,13 @@
 // Address returns the host and port of the server.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// SetAnswers changes the answers on connections that are opened from now on.
+func (s *Server) SetAnswers(answers ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = answers
+}
+
 // Requests returns the number of requests whose head was read.
 func (s *Server) Requests() int {
 	s.mu.Lock()
@@ -83,14 +90,15 @@
 		}
 		s.mu.Lock()
 		s.open[c] = struct{}{}
+		answers := s.answers
 		s.mu.Unlock()
-		s.group.Go(func() { s.serve(c.(*net.TCPConn)) })
+		s.group.Go(func() { s.serve(c.(*net.TCPConn), answers) })
 	}
 }
 
 // serve answers the requests of a connection. The client finds out about errors of the
 // connection by itself.
-func (s *Server) serve(c *net.TCPConn) {
+func (s *Server) serve(c *net.TCPConn, answers []string) {
 	defer func() {
 		_ = c.Close()
 		s.mu.Lock()
@@ -98,7 +106,7 @@
 		s.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
-	for _, answer := range s.answers {
+	for _, answer := range answers {
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
