Reject responses with a line in their head that is no field

Callers got the answer of a worker in trouble in whose head the name of a field held a blank. The line was dropped or passed on as part of another value. Where it should have given the length of the body, the body went on to the end of the connection: after "Content-Length : 19" callers got 124 bytes, with the next answer inside.

Cause: net/http takes a name with blanks for that of another field, and a line that begins with a blank for the continuation of the line before. Names with control bytes, lines without a colon and values with control bytes it rejects.

Change: package head checks the fields, too: names are tokens, values have no control bytes, and no line begins with a blank, which RFC 9112, section 5.2, lets a client reject.

Evidence: TestBrokenField in nine packages fails on the code before. FuzzChecker finds the end of each head where net/http finds it, and no other name than those that httpguts allows.

Package httpguts is used in the test only: it would load tables of Unicode into each process.

--- a/internal/backend/engine/broken_answer_test.go
+++ b/internal/backend/engine/broken_answer_test.go
@@ -69,3 +69,10 @@
 	expectNothing(t, broken.BrokenStatus(jsonFields, jsonBody))
 	expectNothing(t, broken.BrokenStatus(streamFields, streamBody))
 }
+
+// Guards against the answer of an engine in trouble that is passed on: the name of a field
+// has a blank or a control byte, or a line continues the one before.
+func TestBrokenField(t *testing.T) {
+	expectNothing(t, broken.BrokenField(jsonFields, jsonBody))
+	expectNothing(t, broken.BrokenField(streamFields, streamBody))
+}
--- a/internal/backend/exchange/broken_response_test.go
+++ b/internal/backend/exchange/broken_response_test.go
@@ -64,3 +64,10 @@
 func TestBrokenStatus(t *testing.T) {
 	expectErrors(t, broken.BrokenStatus(brokenFields, "body"))
 }
+
+// Guards against a response with a blank or a control byte in the name of a field, or with
+// a line that continues the one before. Its body may have another length than the server
+// meant.
+func TestBrokenField(t *testing.T) {
+	expectErrors(t, broken.BrokenField(brokenFields, "body"))
+}
--- a/internal/backend/report/broken_report_test.go
+++ b/internal/backend/report/broken_report_test.go
@@ -35,3 +35,9 @@
 func TestBrokenStatus(t *testing.T) {
 	expectNoReport(t, broken.BrokenStatus(pageFields, page))
 }
+
+// Guards against a load that is read from a report in whose head a name has a blank or a
+// control byte, or a line continues the one before.
+func TestBrokenField(t *testing.T) {
+	expectNoReport(t, broken.BrokenField(pageFields, page))
+}
--- a/internal/backend/service/broken_answer_test.go
+++ b/internal/backend/service/broken_answer_test.go
@@ -87,3 +87,9 @@
 func TestBrokenStatus(t *testing.T) {
 	expectNothing(t, broken.BrokenStatus(brokenFields, "body"))
 }
+
+// Guards against the answer of a server in trouble that is passed on: the name of a field
+// has a blank or a control byte, or a line continues the one before.
+func TestBrokenField(t *testing.T) {
+	expectNothing(t, broken.BrokenField(brokenFields, "body"))
+}
--- a/internal/caller/host/broken_head_test.go
+++ b/internal/caller/host/broken_head_test.go
@@ -38,3 +38,9 @@
 func TestBrokenStatus(t *testing.T) {
 	expectBadGateway(t, broken.BrokenStatus(brokenFields, "id: 1\ndata: piece\n\n"), "piece")
 }
+
+// Guards against callers who get the answer of a server in trouble: the name of a field
+// has a blank or a control byte, or a line continues the one before.
+func TestBrokenField(t *testing.T) {
+	expectBadGateway(t, broken.BrokenField(brokenFields, "id: 1\ndata: piece\n\n"), "piece")
+}
--- a/internal/http1/head/checker.go
+++ b/internal/http1/head/checker.go
@@ -1,5 +1,6 @@
 // Package head checks the heads of HTTP/1 responses. Package net/http accepts heads
-// that RFC 9112 does not allow, such as those with the status 000.
+// that RFC 9112 does not allow: a status such as 000, a blank in the name of a field, and
+// lines that continue the one before. Such a head may hide the length of its body.
 package head
 
 // InvalidError reports a head that is not valid.
@@ -13,10 +14,12 @@
 
 // The reasons of an InvalidError.
 const (
-	reasonStatusLine = "it has no valid status line"
-	reasonStatus     = "its status is not between 100 and 599"
-	reasonNotFinal   = "its status is not that of a final response"
-	reasonControl    = "its status line has a control byte"
+	reasonStatusLine   = "it has no valid status line"
+	reasonStatus       = "its status is not between 100 and 599"
+	reasonNotFinal     = "its status is not that of a final response"
+	reasonName         = "the name of a field has a byte that is not allowed, or no colon"
+	reasonContinuation = "a line begins with a blank"
+	reasonControl      = "a line has a control byte"
 )
 
 const (
@@ -41,7 +44,8 @@
 	inStatusLine
 	inReason
 	atLineStart
-	inField
+	inName
+	inValue
 	// afterReturn is the position after a carriage return that ends a line, and
 	// afterLastReturn after one that ends the head.
 	afterReturn
@@ -89,12 +93,12 @@
 	switch c.position {
 	case inStatusLine:
 		c.inStatusLine(b)
-	case inReason:
-		c.inReason(b)
-	case inField:
-		c.inField(b)
+	case inReason, inValue:
+		c.inText(b)
 	case atLineStart:
 		c.atLineStart(b)
+	case inName:
+		c.inName(b)
 	case afterReturn:
 		c.expectLineFeed(b, atLineStart)
 	case afterLastReturn:
@@ -130,14 +134,14 @@
 	case ' ':
 		c.position = inReason
 	case '\r', '\n':
-		c.inReason(b)
+		c.inText(b)
 	default:
 		c.fail(reasonStatusLine)
 	}
 }
 
-// inReason checks a byte of the reason of a status.
-func (c *Checker) inReason(b byte) {
+// inText checks a byte of the reason of a status or of the value of a field.
+func (c *Checker) inText(b byte) {
 	switch {
 	case b == '\r':
 		c.position = afterReturn
@@ -156,15 +160,23 @@
 	case '\n':
 		c.position = outside
 		c.endHead()
+	case ' ', '\t':
+		c.fail(reasonContinuation)
+	case ':':
+		c.fail(reasonName)
 	default:
-		c.position = inField
+		c.position = inName
+		c.inName(b)
 	}
 }
 
-// inField passes a byte of a field.
-func (c *Checker) inField(b byte) {
-	if b == '\n' {
-		c.position = atLineStart
+// inName checks a byte of the name of a field, or the colon after it.
+func (c *Checker) inName(b byte) {
+	switch {
+	case b == ':':
+		c.position = inValue
+	case !isTokenByte(b):
+		c.fail(reasonName)
 	}
 }
 
--- a/internal/http1/head/checker_test.go
+++ b/internal/http1/head/checker_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/net/http/httpguts"
 	"gotest.tools/v3/assert"
 
 	"github.com/galenalatch/galenalatch/internal/standin/broken"
@@ -31,9 +32,9 @@
 	return -1, nil
 }
 
-// Guards against a head with a broken status line that passes, wherever reads divide it.
+// Guards against a head with a broken line that passes, wherever reads divide it.
 func TestInvalidHead(t *testing.T) {
-	for _, a := range broken.BrokenStatus(field, "body") {
+	for _, a := range append(broken.BrokenStatus(field, "body"), broken.BrokenField(field, "body")...) {
 		for _, size := range []int{1, 2, 7, len(a.Bytes)} {
 			_, err := endOfHead([]byte(a.Bytes), size)
 			var invalid *InvalidError
@@ -80,10 +81,10 @@
 	assert.NilError(t, c.Check([]byte("HTTP/1.1 200 OK\r\n\r\n")))
 }
 
-// FuzzChecker guards against a head that passes although its status is not valid, and
-// against another end of the head than the one that net/http finds.
+// FuzzChecker guards against a head that passes although its status or a name is not
+// valid, and against another end of the head than the one that net/http finds.
 func FuzzChecker(f *testing.F) {
-	for _, a := range broken.BrokenStatus(field, "body") {
+	for _, a := range append(broken.BrokenStatus(field, "body"), broken.BrokenField(field, "body")...) {
 		f.Add([]byte(a.Bytes))
 	}
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"))
@@ -98,6 +99,9 @@
 			if err != nil {
 				return
 			}
+			for name := range response.Header {
+				assert.Assert(t, httpguts.ValidHeaderFieldName(name), "%q", name)
+			}
 			assert.Assert(t, response.StatusCode >= minStatus && response.StatusCode <= maxStatus, "status %d", response.StatusCode)
 			if response.StatusCode >= firstFinal || response.StatusCode == switchingProtocols {
 				break
--- a/internal/operator/client/broken_response_test.go
+++ b/internal/operator/client/broken_response_test.go
@@ -40,3 +40,9 @@
 	assert.NilError(t, err)
 	assert.NilError(t, s.Close())
 }
+
+// Guards against a change that operators are told is made, after a response in whose head
+// a name has a blank or a control byte, or a line continues the one before.
+func TestBrokenField(t *testing.T) {
+	expectErrors(t, broken.BrokenField(brokenFields, brokenBody))
+}
--- a/internal/peer/link/broken_handshake_test.go
+++ b/internal/peer/link/broken_handshake_test.go
@@ -72,3 +72,11 @@
 		expectConnected(t, false, replaceFirst("HTTP/1.1 101 Switching Protocols\r\n", line))
 	}
 }
+
+// Guards against a link to a peer whose response to the handshake has a line that is no
+// field.
+func TestBrokenField(t *testing.T) {
+	for _, line := range []string{"X Trouble: 1\r\n", "X-Trouble : 1\r\n", " X-Trouble: 1\r\n", "X-Tr\x01ouble: 1\r\n", "X-Trouble\r\n", "X-Trouble:\r\n 1\r\n"} {
+		expectConnected(t, false, replaceFirst("Upgrade: websocket\r\n", "Upgrade: websocket\r\n"+line))
+	}
+}
--- a/internal/platform/httpclient/broken_response_test.go
+++ b/internal/platform/httpclient/broken_response_test.go
@@ -45,3 +45,9 @@
 func TestBrokenStatus(t *testing.T) {
 	expectErrors(t, broken.BrokenStatus(brokenFields, "body"))
 }
+
+// Guards against a response of the platform that is taken for a result although the name
+// of a field has a blank or a control byte, or a line continues the one before.
+func TestBrokenField(t *testing.T) {
+	expectErrors(t, broken.BrokenField(brokenFields, "body"))
+}
