Reject HTTP/1.0 responses with a transfer encoding

Callers would get the chunk sizes of such an answer as a part of its body.

Cause: net/http drops the field Transfer-Encoding from an HTTP/1.0 response and reads the body up to the end of the connection, or by its length. RFC 9112, section 6.1, calls the framing of such a message faulty.

Change: package head rejects the field in a head of HTTP/1.0.

--- a/internal/http1/head/checker.go
+++ b/internal/http1/head/checker.go
@@ -1,6 +1,7 @@
 // Package head checks the heads of HTTP/1 responses. Package net/http accepts heads
-// that RFC 9112 does not allow: a status such as 000, a blank in the name of a field, and
-// lines that continue the one before. Such a head may hide the length of its body.
+// that RFC 9112 does not allow: a status such as 000, a blank in the name of a field,
+// lines that continue the one before, and a transfer encoding in HTTP/1.0. Such a head may
+// hide the length of its body.
 package head
 
 // InvalidError reports a head that is not valid.
@@ -19,14 +20,19 @@
 	reasonNotFinal     = "its status is not that of a final response"
 	reasonName         = "the name of a field has a byte that is not allowed, or no colon"
 	reasonContinuation = "a line begins with a blank"
+	reasonEncoding     = "it names a transfer encoding, which HTTP/1.0 does not have"
 	reasonControl      = "a line has a control byte"
 )
 
 const (
 	// statusLine is the form of a status line up to the status. A # stands for a digit.
 	statusLine = "HTTP/1.# ###"
-	// minorVersionEnd is the offset in statusLine after the version.
-	minorVersionEnd = 8
+	// minorVersion is the offset of the minor version in statusLine.
+	minorVersion = 7
+	// encodingField is the name of the field with the transfer encoding, in lower case.
+	encodingField = "transfer-encoding"
+	// lowerCase is the bit that is set in lower-case letters, and in a hyphen.
+	lowerCase = 0x20
 	// minStatus and maxStatus bound a status, firstFinal is the first one of a final
 	// response. switchingProtocols is final, too: no other head follows.
 	minStatus, maxStatus = 100, 599
@@ -70,7 +76,12 @@
 	// offset is the number of bytes of the status line that were checked, status the
 	// digits of the status so far.
 	offset, status int
-	err            error
+	// http10 is set for HTTP/1.0.
+	http10 bool
+	// matched is the number of bytes of the name of a field that agree with encodingField,
+	// or -1 once one differs.
+	matched int
+	err     error
 }
 
 // Begin makes the next byte the first one of a head. Interim responses may come before
@@ -118,7 +129,9 @@
 	case want == '#' && !digit, want != '#' && b != want:
 		c.fail(reasonStatusLine)
 		return
-	case want == '#' && c.offset > minorVersionEnd:
+	case c.offset == minorVersion:
+		c.http10 = b == '0'
+	case want == '#':
 		c.status = 10*c.status + int(b-'0')
 	}
 	c.offset++
@@ -165,7 +178,7 @@
 	case ':':
 		c.fail(reasonName)
 	default:
-		c.position = inName
+		c.position, c.matched = inName, 0
 		c.inName(b)
 	}
 }
@@ -173,10 +186,16 @@
 // inName checks a byte of the name of a field, or the colon after it.
 func (c *Checker) inName(b byte) {
 	switch {
+	case b == ':' && c.http10 && c.matched == len(encodingField):
+		c.fail(reasonEncoding)
 	case b == ':':
 		c.position = inValue
 	case !isTokenByte(b):
 		c.fail(reasonName)
+	case c.matched >= 0 && c.matched < len(encodingField) && b|lowerCase == encodingField[c.matched]:
+		c.matched++
+	default:
+		c.matched = -1
 	}
 }
 
--- a/internal/http1/head/checker_test.go
+++ b/internal/http1/head/checker_test.go
@@ -56,6 +56,7 @@
 		"HTTP/1.1 200\r\n\r\n",
 		"HTTP/1.1 200 \r\nA: \r\n\r\n",
 		"HTTP/1.0 599 Network Connect Timeout\r\nA:b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: a\r\nTransfer-Encodin: b\r\nX-Transfer-Encoding: c\r\n\r\n",
 		"HTTP/1.1 200 Tr\u00e8s bien\tdone\r\n!#$%&'*+-.^_`|~09azAZ: \u00e9 : ;\t \r\nB: c\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n\r\n",
@@ -87,6 +88,7 @@
 	for _, a := range append(broken.BrokenStatus(field, "body"), broken.BrokenField(field, "body")...) {
 		f.Add([]byte(a.Bytes))
 	}
+	f.Add([]byte("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		end, err := endOfHead(b, 1)
