Reject values of the platform whose end cannot be told from a cut

A row or an object of the platform's table that comes without a length or chunks counted as whole wherever its connection ended, also inside it. Found while all readers were checked for the cause of the cut answers.

Cause: the end of such a body looks like that of a broken connection. The clients of engines and plain services reject such bodies, the client of the platform did not.

Change: it rejects them, too. A read fails as when the platform is down, the result of a write is unknown. Bodies that the transport decompresses have a checksum. The check moves to package framing, which all three clients use.

--- a/internal/backend/connection/connection.go
+++ b/internal/backend/connection/connection.go
@@ -152,12 +152,6 @@
 	return c
 }
 
-// HasFraming reports whether the body of a response has a length or chunks, so
-// that its end differs from a broken connection.
-func HasFraming(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
-
 // callerClosedError returns the error for a request whose context has ended.
 func callerClosedError(ctx context.Context, o galenalatch.Outcome) error {
 	return &galenalatch.Error{Kind: galenalatch.KindCallerClosed, Outcome: o, Err: context.Cause(ctx)}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	"github.com/galenalatch/galenalatch/internal/http1/framing"
 )
 
 // Limits and times of the client.
@@ -124,7 +125,7 @@
 	switch {
 	case err == nil && len(body) > c.maxBodyBytes:
 		err = errors.New("body is too large")
-	case err == nil && !connection.HasFraming(resp):
+	case err == nil && !framing.HasEnd(resp):
 		err = errors.New("body has neither a Content-Length nor chunked encoding")
 	}
 	if err != nil {
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/connection"
+	"github.com/galenalatch/galenalatch/internal/http1/framing"
 )
 
 const (
@@ -86,7 +87,7 @@
 	if err != nil {
 		return l.usage(), err
 	}
-	if !connection.HasFraming(resp) {
+	if !framing.HasEnd(resp) {
 		conn.Close()
 		return l.usage(), galenalatch.KindServerFailed.Errorf("answer of %s has neither a Content-Length nor chunked encoding", o.Address)
 	}
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/http1/framing"
 	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
@@ -177,9 +179,17 @@
 // rawBody is a sling.ResponseDecoder that reads the body into a *[]byte.
 type rawBody struct{}
 
+// errNoEnd is the error of a body that may have been cut off.
+var errNoEnd = errors.New("the response has neither a length nor chunks")
+
 // Decode implements sling.ResponseDecoder. A body of more than maxBodyBytes is
-// an error.
+// an error, and so is one that ends with its connection.
 func (rawBody) Decode(resp *http.Response, v any) error {
+	// The transport removes the length of a body that it decompresses, which has a
+	// checksum.
+	if !framing.HasEnd(resp) && !resp.Uncompressed {
+		return errNoEnd
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
 		return err
