Reject reports whose end cannot be told from a cut

A router could take a part of a server's metrics page for its report: 7 running requests of 72, no waiting ones, not leaving, and another boot identity. Found while all readers were checked for the cause of the cut answers.

Cause: the end of a page without a length or chunks looks like that of a broken connection.

Change: such a page is an error for reports and for the boot identity of a connection, as such an answer already is.

Evidence: TestCutReport fails on the code before at a connection that is closed inside the page; with a length, in chunks and after a reset the cut was an error before.

--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/report"
+	"github.com/galenalatch/galenalatch/internal/http1/framing"
 	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
@@ -208,6 +209,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.New("the metrics page returned status " + resp.Status)
 	}
+	if !framing.HasEnd(resp) {
+		return errors.New("the metrics page has neither a length nor chunks")
+	}
 	c.boot = l.Boot
 	return nil
 }
--- a/internal/backend/report/broken_report_test.go
+++ b/internal/backend/report/broken_report_test.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -41,3 +42,25 @@
 func TestBrokenField(t *testing.T) {
 	expectNoReport(t, broken.BrokenField(pageFields, page))
 }
+
+// Guards against a load that is read from a part of a report: its connection has ended.
+func TestCutReport(t *testing.T) {
+	whole := startTimeMetric + " 12\n" + runningMetric + " 72\n" + waitingMetric + " 10\n" + leavingMetric + " 1\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(whole))
+	chunk := fmt.Sprintf("%x\r\n", len(whole))
+	for _, ending := range []broken.Ending{broken.CloseWrite, broken.Reset} {
+		for end := range whole {
+			for _, answer := range []string{
+				"HTTP/1.1 200 OK\r\n\r\n" + whole[:end],
+				"HTTP/1.1 200 OK\r\n" + length + "\r\n" + whole[:end],
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + whole[:end],
+			} {
+				s, err := broken.New(ending, answer)
+				assert.NilError(t, err)
+				l, err := New().Report(t.Context(), s.Address())
+				assert.Assert(t, err != nil, "%s, %q: %+v", ending, answer, l)
+				assert.NilError(t, s.Close())
+			}
+		}
+	}
+}
--- a/internal/backend/report/client.go
+++ b/internal/backend/report/client.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
+	"github.com/galenalatch/galenalatch/internal/http1/framing"
 	"github.com/galenalatch/galenalatch/internal/http1/transport"
 )
 
@@ -94,7 +95,8 @@
 
 // Report returns the load of the server at address, which is host:port. Errors
 // are of KindBadRequest when address is invalid, and otherwise of
-// KindServerUnreachable, also for a page without a metric of running requests.
+// KindServerUnreachable, also for a page without a metric of running requests, and for one
+// that may be cut off, since it has neither a length nor chunks.
 func (c *Client) Report(ctx context.Context, address string) (galenalatch.LoadReport, error) {
 	r, err := sling.New().Base("http://" + address).Get(MetricsPath).Request()
 	if err != nil {
@@ -110,6 +112,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return galenalatch.LoadReport{}, galenalatch.KindServerUnreachable.Errorf("report of %s has status %d", address, resp.StatusCode)
 	}
+	if !framing.HasEnd(resp) {
+		return galenalatch.LoadReport{}, galenalatch.KindServerUnreachable.Errorf("report of %s has neither a length nor chunks", address)
+	}
 	l, err := Parse(resp.Body)
 	if err != nil {
 		return galenalatch.LoadReport{}, galenalatch.KindServerUnreachable.Errorf("report of %s: %w", address, err)
