Reject a status of roll-outs with an invalid head

Operators' command "rollout status" printed a status from a response with an invalid head.

Evidence: TestBrokenRolloutStatus fails on the code before.

--- a/internal/operator/commands/rollout.go
+++ b/internal/operator/commands/rollout.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/exit"
+	"github.com/galenalatch/galenalatch/internal/http1/transport"
 	"github.com/galenalatch/galenalatch/internal/operator/status"
 )
 
@@ -58,13 +59,16 @@
 	return errors.Join(c.printRollouts(all), err)
 }
 
+// rolloutClient asks gateways for their roll-outs.
+var rolloutClient = &http.Client{Transport: transport.New(&http.Transport{DisableKeepAlives: true})}
+
 // rollouts asks a gateway for its roll-outs.
 func rollouts(ctx context.Context, address string) (list []status.Rollout, err error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/rollouts", nil)
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := rolloutClient.Do(r)
 	if err != nil {
 		return nil, galenalatch.KindServerUnreachable.Errorf("%w", err)
 	}
--- a/internal/operator/commands/rollout_test.go
+++ b/internal/operator/commands/rollout_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/golden"
 
 	"github.com/galenalatch/galenalatch/internal/operator/commands"
+	"github.com/galenalatch/galenalatch/internal/standin/broken"
 )
 
 // Guards against a status of a roll-out without its evidence, one of another service, and
@@ -40,3 +41,21 @@
 	_, err = run("pool", "-g", "127.0.0.1:1")
 	assert.ErrorContains(t, err, "connect")
 }
+
+// Guards against a status of a roll-out from a response in whose head a line is broken.
+func TestBrokenRolloutStatus(t *testing.T) {
+	const (
+		fields = "Content-Type: application/json\r\n"
+		body   = `[{"router":"r1","service":"pool","to":"v2","state":"done","step":"full"}]`
+	)
+	for _, a := range append(broken.BrokenStatus(fields, body), broken.BrokenField(fields, body)...) {
+		s, err := broken.New(broken.CloseWrite, a.Bytes)
+		assert.NilError(t, err)
+		var out bytes.Buffer
+		app := kingpin.New("galenalatch", "")
+		commands.Register(app, &out)
+		_, err = app.Parse([]string{"rollout", "status", "-g", s.Address(), "pool"})
+		assert.Assert(t, err != nil, "%s: %s", a.Name, out.String())
+		assert.NilError(t, s.Close())
+	}
+}
