--- a/internal/backend/exchange/early_response_test.go
+++ b/internal/backend/exchange/early_response_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -148,3 +150,44 @@
 		})
 	}
 }
+
+// endedConn is a connection that has ended: a write has the error, a read finds the end of
+// the connection after the head of a response.
+type endedConn struct {
+	net.Conn
+	head  io.Reader
+	write error
+}
+
+func (c *endedConn) Write([]byte) (int, error)        { return 0, c.write }
+func (c *endedConn) Read(b []byte) (int, error)       { return c.head.Read(b) }
+func (c *endedConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *endedConn) Close() error                     { return nil }
+
+// Guards against a connection that broke in another way than by a reset, and against a
+// body that counts as cut off although its server has closed the connection in order.
+func TestEndOfUpload(t *testing.T) {
+	tests := []struct {
+		write error
+		whole bool
+	}{
+		{syscall.ECONNRESET, false},
+		{syscall.ETIMEDOUT, false},
+		{syscall.EHOSTUNREACH, false},
+		{net.ErrClosed, false},
+		{syscall.EPIPE, true},
+		{os.ErrDeadlineExceeded, true},
+	}
+	for _, tt := range tests {
+		ended := func(context.Context, string, string) (net.Conn, error) {
+			return &endedConn{head: strings.NewReader(earlyHead + "\r\nbody"), write: &net.OpError{Op: "write", Err: tt.write}}, nil
+		}
+		c := New(Options{Dial: ended, Headers: headers.Headers{}, DialTimeout: time.Second, MaxIdle: 2})
+		a, err := c.Send(t.Context(), &Request{ID: "r-1", Server: "s1", Method: "POST", URI: "/", Header: http.Header{}, Body: [][]byte{[]byte("upload")}})
+		assert.NilError(t, err)
+		body, err := io.ReadAll(a.Body)
+		assert.Equal(t, err == nil, tt.whole, "%v: %v", tt.write, err)
+		assert.Equal(t, string(body), "body")
+		a.Close()
+	}
+}
