Router: pass on an answer that came before the upload broke off

Callers of the router got an error with an unknown outcome instead of a sound answer: a plain service had answered with a length or in chunks before it read the upload, and then broke off the connection, as servers do that reject a long body.

Cause: http.Transport closes a connection whose write has failed, often before the answer that waits in the kernel is read.

Change: a connection counts a write that fails by the server's doing as done. The read decides: it finds the answer, or the end. The bytes that were really written are counted as before, so that a request of which none was written stays notRun. Such a connection is not used again.

--- a/internal/backend/connection/counting_conn.go
+++ b/internal/backend/connection/counting_conn.go
@@ -23,6 +23,8 @@
 
 	mu     sync.Mutex
 	closed bool
+	// broken is set when a write has failed although the connection was not closed.
+	broken bool
 	// inRequest is set while a request is in flight. halfClosed is set when the
 	// connection was closed during a request and linger was not called yet.
 	inRequest  bool
@@ -44,7 +46,9 @@
 	return c.Conn.Read(b)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A write that fails because the server has broken off the
+// connection counts as done: the server may have answered before, and http.Transport would
+// close the connection instead of reading the answer. If there is none, a read fails.
 func (c *countingConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.closed {
@@ -61,6 +65,10 @@
 		c.pendingWrites--
 		c.bytesWritten += int64(n)
 	}
+	if err != nil && !c.closed {
+		c.broken = true
+		return len(b), nil
+	}
 	return n, err
 }
 
@@ -113,6 +121,13 @@
 	return c.closed
 }
 
+// isReusable reports whether the connection can carry another request.
+func (c *countingConn) isReusable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && !c.broken
+}
+
 // startRequest resets the counts for the next request. A write of the previous
 // request may return later than its response was received.
 func (c *countingConn) startRequest() {
--- a/internal/backend/connection/pool.go
+++ b/internal/backend/connection/pool.go
@@ -101,7 +101,7 @@
 // Release or Close on it. The outcome of all errors is NotRun.
 func (p *Pool) Get(ctx context.Context, address string, boot galenalatch.BootID) (*Connection, error) {
 	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
-		if c.boot == boot && !c.conn.isClosed() {
+		if c.boot == boot && c.conn.isReusable() {
 			return c, nil
 		}
 		// The connection is closed or leads to a process other than the
@@ -220,7 +220,7 @@
 // closed.
 func (p *Pool) putIdle(c *Connection) {
 	p.mu.Lock()
-	added := !p.closed && !c.conn.isClosed() && p.idle.push(c.address, c)
+	added := !p.closed && c.conn.isReusable() && p.idle.push(c.address, c)
 	if added {
 		c.expiry = time.AfterFunc(p.idleTimeout, c.closeIdle)
 	}
--- a/internal/backend/service/broken_answer_test.go
+++ b/internal/backend/service/broken_answer_test.go
@@ -54,7 +54,7 @@
 // Guards against a sound answer that is lost since it came before the request was read.
 func TestAnswerBeforeUpload(t *testing.T) {
 	for _, rest := range []string{"Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"} {
-		for _, ending := range []broken.Ending{broken.Wait, broken.CloseWrite} {
+		for _, ending := range []broken.Ending{broken.Wait, broken.CloseWrite, broken.CloseWriteAndReset, broken.Reset} {
 			t.Run(fmt.Sprintf("%q, %s", rest[:6], ending), func(t *testing.T) {
 				r, err := runUpload(t, ending, answerHead+rest)
 				assert.NilError(t, err)
