Comments and a name in the new code, read as a newcomer

CheckFinal says what it does with 101, the upload which goroutine calls its methods; a variable no longer hides the package of the stand-in.

--- a/cmd/galenalatch/broken_answers_test.go
+++ b/cmd/galenalatch/broken_answers_test.go
@@ -56,11 +56,11 @@
 	if err != nil {
 		return 0, "", err
 	}
-	b, broken := io.ReadAll(a.Body)
+	b, cut := io.ReadAll(a.Body)
 	if err := a.Body.Close(); err != nil {
 		return 0, "", err
 	}
-	if broken != nil {
+	if cut != nil {
 		return 0, string(b), nil
 	}
 	return a.StatusCode, string(b), nil
--- a/internal/backend/exchange/upload.go
+++ b/internal/backend/exchange/upload.go
@@ -14,8 +14,8 @@
 // pastDeadline is a deadline that has passed. It ends a write that waits.
 var pastDeadline = time.Unix(1, 0)
 
-// upload writes a request while its response is read. Only run may be called
-// concurrently with the other methods.
+// upload writes a request while its response is read. Its methods are called by the
+// goroutine that reads the response, but for run.
 type upload struct {
 	connection *connection
 	request    *Request
--- a/internal/http1/head/checker.go
+++ b/internal/http1/head/checker.go
@@ -60,8 +60,8 @@
 	invalid
 )
 
-// CheckFinal returns an *InvalidError if the status is not that of a final response. 101 is
-// none, since no caller of this function asks for another protocol.
+// CheckFinal returns an *InvalidError if the status is not that of a final response. It
+// rejects 101, too, which only answers a request for another protocol.
 func CheckFinal(status int) error {
 	if status < firstFinal || status > maxStatus {
 		return &InvalidError{reasonNotFinal}
