--- a/review/rig3/stale_report.go
+++ b/review/rig3/lost_report.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// lostShare is the share of the servers that lose answers, lostPart the part of their
-	// answers, lostTime how long that lasts.
+	// lostWorkers of allWorkers lose answers, lostPart of them, for lostTime.
 	lostWorkers = 3
 	allWorkers  = 5
 	lostPart    = 0.4
@@ -43,14 +42,15 @@
 	})
 }
 
-// staleReport has some servers lose the answers to a part of their streams. No request may
-// go on at another server while the one before still works on it overlapTime later.
-func staleReport(ctx context.Context, r *rig) (int, error) {
+// lostReport has some servers lose a part of their answers, to streams and to calls for
+// their report. No request may go on at another server while the one before still works on
+// it overlapTime later.
+func lostReport(ctx context.Context, r *rig) (int, error) {
 	r.store.write(streamConfiguration())
 	var mu sync.Mutex
 	losing := false
 	for i := range allWorkers {
-		w, err := r.startWorker(fmt.Sprintf("i-%02d", i), "pool", fmt.Sprintf("zone-%d", i%4+1))
+		w, err := r.startWorker(fmt.Sprintf("i-%02d", i), "pool", fmt.Sprintf("zone-%d", i%4+1), 64)
 		if err != nil {
 			return 0, err
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -30,7 +30,8 @@
 // that its rule was broken.
 var cases = map[string]func(ctx context.Context, r *rig) (int, error){
 	"restored-store": restoredStore,
-	"stale-report":   staleReport,
+	"lost-report":    lostReport,
+	"other-writer":   otherWriter,
 }
 
 func main() {
--- a/review/rig3/restored_store.go
+++ b/review/rig3/restored_store.go
@@ -38,7 +38,7 @@
 	const kept, removed = "key-kept", "key-removed"
 	r.store.write(plainConfiguration(7, kept, removed))
 	for i := range 16 {
-		if _, err := r.startWorker(fmt.Sprintf("i-%02d", i), "desk", fmt.Sprintf("zone-%d", i%4+1)); err != nil {
+		if _, err := r.startWorker(fmt.Sprintf("i-%02d", i), "desk", fmt.Sprintf("zone-%d", i%4+1), 6); err != nil {
 			return 0, err
 		}
 	}
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -15,7 +16,10 @@
 	heartbeat = 1200 * time.Millisecond
 	retryTime = 100 * time.Millisecond
 	// reportLag is the age of what a server reports.
-	reportLag = 300 * time.Millisecond
+	reportLag = 100 * time.Millisecond
+	// idleTime is the time after which a server closes an idle connection, in whole
+	// seconds.
+	idleTime = time.Second
 	// replyTime is how long a server works on a plain request.
 	replyTime = 15 * time.Millisecond
 	// firstTokenTime, eventTime and eventCount are those of a stream.
@@ -33,26 +37,33 @@
 // worker is a stand-in of a backend server.
 type worker struct {
 	id, service, zone string
-	rig               *rig
-	listener          net.Listener
-	server            *http.Server
-	stop              chan struct{}
-	// losesAnswer reports whether the answer of a request that begins now is lost.
+	slots             int
+	// born is the Unix millisecond of the start.
+	born     int64
+	rig      *rig
+	listener net.Listener
+	server   *http.Server
+	stop     chan struct{}
+	// losesAnswer reports whether the answer to a request is lost.
 	losesAnswer func(w *worker, request string) bool
 
 	mu    sync.Mutex
 	runs  []*execution
 	lost  int
 	beats []time.Time
+	// leaving is set when the server has begun to leave. It then says so in its answers
+	// and writes no more.
+	leaving bool
+	closing sync.Once
 }
 
-func (r *rig) startWorker(id, service, zone string) (*worker, error) {
+func (r *rig) startWorker(id, service, zone string, slots int) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, service: service, zone: zone, rig: r, listener: l, stop: make(chan struct{})}
-	w.server = &http.Server{Handler: w}
+	w := &worker{id: id, service: service, zone: zone, slots: slots, born: time.Now().UnixMilli(), rig: r, listener: l, stop: make(chan struct{})}
+	w.server = &http.Server{Handler: w, IdleTimeout: idleTime}
 	r.workers = append(r.workers, w)
 	go w.run()
 	r.store.write(w.entry())
@@ -64,14 +75,34 @@
 func (w *worker) run() { _ = w.server.Serve(w.listener) }
 
 func (w *worker) close() {
-	close(w.stop)
-	_ = w.server.Close()
+	w.closing.Do(func() {
+		close(w.stop)
+		_ = w.server.Close()
+	})
+}
+
+// leave begins to leave without a report: the entry is removed. It returns the time of the
+// store's answer.
+func (w *worker) leave() time.Time {
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	gone := w.entry()
+	gone.Value, gone.Removed = nil, true
+	w.rig.store.write(gone)
+	return time.Now()
+}
+
+func (w *worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
 }
 
 func (w *worker) entry() row {
 	return jsonRow("servers", w.id, map[string]any{
-		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": 64, "state": "ready",
-		"coldLeftMs": 0, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
+		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready",
+		"coldLeftMs": 0, "sequence": 1, "born": w.born, "stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 	})
 }
 
@@ -83,6 +114,9 @@
 			return
 		case <-time.After(wait):
 		}
+		if w.isLeaving() {
+			return
+		}
 		wait = retryTime
 		if _, ok := w.rig.store.write(); ok {
 			w.mu.Lock()
@@ -109,7 +143,11 @@
 }
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
-	out.Header().Set("Instance-Load", "1,0,64")
+	out.Header().Set("Instance-Load", fmt.Sprintf("1,0,%d", w.slots))
+	out.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleTime.Seconds())))
+	if w.isLeaving() {
+		out.Header().Set("Server-Leaving", "1")
+	}
 	switch r.URL.Path {
 	case "/health":
 		out.Header().Set("Instance-Id", w.id)
@@ -197,8 +235,14 @@
 	_ = c.Close()
 }
 
-// report answers with the state of the server as it was reportLag ago.
+// report answers with the state of the server as it was reportLag ago. With REPORTS=0 this
+// answer is never lost.
 func (w *worker) report(out http.ResponseWriter) {
+	if id := newID(); os.Getenv("REPORTS") != "0" && w.losesAnswer != nil && w.losesAnswer(w, id) {
+		w.rig.record("%s loses its answer to a call for its report", w.id)
+		w.reset(out)
+		return
+	}
 	at := time.Now().Add(-reportLag)
 	runs := []any{}
 	w.mu.Lock()
