Review case 13: a request runs at a server of another service

The case now shows ROUTE: an entry that lacks coldLeftMs, sequence and born, under the id of a server and with the name of another service, brings requests that may not be repeated to that server. The scripts choose ports below those of outgoing connections.

--- a/review/rig3/other_writer.go
+++ b/review/rig3/other_writer.go
@@ -4,101 +4,82 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// drainTime is the time after which a server that leaves gets no more requests.
-	drainTime = 2 * time.Second
-	// writeAfter is the time from the leaving to the other writer's entry, exitAfter that
-	// to the end of the server's process.
-	writeAfter = 2500 * time.Millisecond
-	exitAfter  = 6 * time.Second
 	// plainInterval is the time between an answer to the client of a gateway and its next
-	// request. With 8 gateways that is about the load of the sheet.
-	plainInterval = 550 * time.Millisecond
+	// request. With 8 gateways that is half of the load of the sheet.
+	plainInterval = 800 * time.Millisecond
+	// calmTime is the time before the other writer's entry, afterTime that after it.
+	calmTime  = 5 * time.Second
+	afterTime = 5 * time.Second
 )
 
-// otherWriter has a server leave without a report: its entry is removed, and it serves on
-// for a while. Then another writer puts an entry of it into the store that lacks fields. No
-// request may reach the server later than drainTime after the store's answer.
+// otherWriter has another writer put one entry into the store that lacks fields. It stands
+// under the id of a model server and names the service of another route. No request of that
+// route may run at the model server.
 func otherWriter(ctx context.Context, r *rig) (int, error) {
-	r.store.write(plainConfiguration(7, "key"))
+	r.store.write(plainConfiguration(7, nonIdempotent, "key"))
+	model, err := r.startWorker("i-00", "pool", "zone-1", 64)
+	if err != nil {
+		return 0, err
+	}
 	for i := range 4 {
-		if _, err := r.startWorker(fmt.Sprintf("i-%02d", i), "desk", fmt.Sprintf("zone-%d", i+1), 6); err != nil {
+		if _, err := r.startWorker(fmt.Sprintf("i-1%d", i), "desk", fmt.Sprintf("zone-%d", i+1), 6); err != nil {
 			return 0, err
 		}
 	}
 	if err := r.startGateways(ctx, 8); err != nil {
 		return 0, err
 	}
-	// The machines are in touch contactMs after their start.
-	if err := sleep(ctx, 5*time.Second); err != nil {
-		return 0, err
-	}
 	if err := r.checkServed(ctx, "key"); err != nil {
 		return 0, err
 	}
 	sending, stop := context.WithCancel(ctx)
+	defer stop()
 	var group sync.WaitGroup
 	for _, g := range r.gateways {
 		group.Go(func() { r.sendPlain(sending, g) })
 	}
-	w := r.workers[0]
-	left, err := r.leaveAndWrite(ctx, w)
-	stop()
-	group.Wait()
-	if err != nil {
+	if err := sleep(ctx, calmTime); err != nil {
 		return 0, err
 	}
-	return r.countLate(w, left), nil
+	if r.trouble {
+		r.store.write(model.incompleteEntry("desk"))
+		r.record("another writer puts an entry of %s: service desk, no coldLeftMs, sequence and born, a number as version", model.id)
+	}
+	if err := sleep(ctx, afterTime); err != nil {
+		return 0, err
+	}
+	stop()
+	group.Wait()
+	return r.countMisrouted(model), nil
 }
 
 // sendPlain sends requests to a gateway at intervals until ctx ends.
 func (r *rig) sendPlain(ctx context.Context, g *gateway) {
 	for sleep(ctx, plainInterval) == nil {
-		r.send(context.WithoutCancel(ctx), call{gateway: g, method: "GET", path: "/status/1", key: "key"})
-	}
-}
-
-// leaveAndWrite has a server leave and another writer put an entry of it into the store. It
-// returns the time of the store's answer to the leaving.
-func (r *rig) leaveAndWrite(ctx context.Context, w *worker) (time.Time, error) {
-	if err := sleep(ctx, 2*time.Second); err != nil {
-		return time.Time{}, err
-	}
-	left := w.leave()
-	r.record("the store acknowledges that %s is gone", w.id)
-	if err := sleep(ctx, writeAfter); err != nil {
-		return left, err
-	}
-	if r.trouble {
-		r.store.write(w.incompleteEntry())
-		r.record("another writer puts an entry of %s without coldLeftMs, sequence and born, and with a number as version", w.id)
-	}
-	if err := sleep(ctx, time.Until(left.Add(exitAfter))); err != nil {
-		return left, err
+		r.send(context.WithoutCancel(ctx), call{gateway: g, method: "POST", path: plainPath, key: "key", body: "{}"})
 	}
-	w.close()
-	r.record("%s has ended", w.id)
-	return left, sleep(ctx, 2*time.Second)
 }
 
-// incompleteEntry returns an entry of the server in which fields are missing and one is of
-// another type.
-func (w *worker) incompleteEntry() row {
+// incompleteEntry returns an entry of the server for a service in which fields are missing
+// and one is of another type.
+func (w *worker) incompleteEntry(service string) row {
 	return jsonRow("servers", w.id, map[string]any{
-		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": 1, "slots": w.slots, "state": "ready",
+		"service": service, "address": w.listener.Addr().String(), "zone": w.zone, "version": 1, "slots": 6, "state": "ready",
 	})
 }
 
-// countLate returns how many requests reached a server later than drainTime after the
-// store's answer.
-func (r *rig) countLate(w *worker, left time.Time) int {
-	late := slices.DeleteFunc(w.executions(), func(x execution) bool { return x.began.Sub(left) <= drainTime })
-	for _, x := range late {
-		r.record("%s reached %s %s after the store had acknowledged that it is gone", x.request, w.id, x.began.Sub(left).Round(time.Millisecond))
+// countMisrouted returns how many requests of the plain route have run at a server of
+// another service.
+func (r *rig) countMisrouted(w *worker) int {
+	misrouted := slices.DeleteFunc(w.executions(), func(x execution) bool { return !strings.HasPrefix(x.path, plainPath) })
+	for _, x := range misrouted {
+		r.record("%s of route r-1, which goes to service desk, ran at %s of service %s", x.request, w.id, w.service)
 	}
-	return len(late)
+	return len(misrouted)
 }
--- a/review/rig3/restored_store.go
+++ b/review/rig3/restored_store.go
@@ -17,12 +17,21 @@
 	revokeTime = 5 * time.Second
 )
 
-// plainConfiguration is the operator's configuration with one plain route.
-func plainConfiguration(version int, keys ...string) row {
+// plainPath is the path of requests of the plain route.
+const plainPath = "/status/1"
+
+// Kinds of the plain route.
+const (
+	idempotent    = "idempotent"
+	nonIdempotent = "non_idempotent"
+)
+
+// plainConfiguration is the operator's configuration with one plain route of a kind.
+func plainConfiguration(version int, kind string, keys ...string) row {
 	return jsonRow("op", "config", map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-1", "host": host, "prefix": "/status/", "kind": "idempotent", "timeoutMs": 1000, "targetLatencyMs": 100, "priority": 2,
+			"name": "r-1", "host": host, "prefix": "/status/", "kind": kind, "timeoutMs": 1000, "targetLatencyMs": 100, "priority": 2,
 			"service": "desk", "maxAttempts": 2, "public": false, "sticky": false, "streamResume": false,
 		}},
 		"services": []any{map[string]any{"name": "desk", "healthPath": "/health", "maxConns": 110, "coldStartS": 0.0, "coldPerS": 0.0}},
@@ -36,7 +45,7 @@
 // requests with the key must not run any more revokeTime after the store's answer.
 func restoredStore(ctx context.Context, r *rig) (int, error) {
 	const kept, removed = "key-kept", "key-removed"
-	r.store.write(plainConfiguration(7, kept, removed))
+	r.store.write(plainConfiguration(7, idempotent, kept, removed))
 	for i := range 16 {
 		if _, err := r.startWorker(fmt.Sprintf("i-%02d", i), "desk", fmt.Sprintf("zone-%d", i%4+1), 6); err != nil {
 			return 0, err
@@ -69,7 +78,7 @@
 		r.record("the store is back with version %d", backup.version)
 	}
 	// The operator has tried to write this since the store was away.
-	version, ok := r.store.write(plainConfiguration(9, kept))
+	version, ok := r.store.write(plainConfiguration(9, idempotent, kept))
 	if !ok {
 		return 0, fmt.Errorf("the store did not take the configuration")
 	}
@@ -91,7 +100,7 @@
 func (r *rig) checkServed(ctx context.Context, keys ...string) error {
 	for _, g := range r.gateways {
 		for _, key := range keys {
-			if a := r.send(ctx, call{gateway: g, method: "GET", path: "/status/1", key: key}); a.status != 200 {
+			if a := r.send(ctx, call{gateway: g, method: "GET", path: plainPath, key: key}); a.status != 200 {
 				return fmt.Errorf("%s answered %d before the disruption: %v", g.name, a.status, a.err)
 			}
 		}
@@ -106,10 +115,10 @@
 	served := make(map[string]int)
 	for range 5 {
 		for _, g := range r.gateways {
-			if a := r.send(ctx, call{gateway: g, method: "GET", path: "/status/1", key: kept}); a.status == 200 {
+			if a := r.send(ctx, call{gateway: g, method: "GET", path: plainPath, key: kept}); a.status == 200 {
 				served[g.name]++
 			}
-			a := r.send(ctx, call{gateway: g, method: "GET", path: "/status/1", key: removed})
+			a := r.send(ctx, call{gateway: g, method: "GET", path: plainPath, key: removed})
 			sent[a.request] = g.name
 		}
 		if err := sleep(ctx, time.Second); err != nil {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,8 @@
 	store    *store
 	gateways []*gateway
 	workers  []*worker
+	// ports are those given to gateways, which may not listen yet.
+	ports map[int]bool
 
 	mu  sync.Mutex
 	log *os.File
@@ -37,7 +40,7 @@
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
-	r := &rig{trouble: trouble, start: time.Now(), folder: folder, log: log}
+	r := &rig{trouble: trouble, start: time.Now(), folder: folder, ports: make(map[int]bool), log: log}
 	r.store, err = newStore()
 	if err != nil {
 		return nil, errors.Join(err, log.Close(), os.RemoveAll(folder))
@@ -91,7 +94,7 @@
 }
 
 func (r *rig) startGateway(name, zone string) error {
-	addresses, err := freeAddresses(4)
+	addresses, err := r.freeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -162,16 +165,31 @@
 	<-g.exited
 }
 
-// freeAddresses returns loopback addresses with ports that are free.
-func freeAddresses(n int) ([]string, error) {
+// lowestPort and highestPort bound the ports of the gateways. They are below those that
+// the system gives to outgoing connections, which could take one before it is used.
+const (
+	lowestPort  = 12000
+	highestPort = 32000
+)
+
+// freeAddresses returns loopback addresses with ports that are free and not given yet.
+func (r *rig) freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < n; tries++ {
+		if tries > 100*n {
+			return nil, errors.New("no free ports")
+		}
+		port := lowestPort + rand.N(highestPort-lowestPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		address := l.Addr().String()
+		if err := l.Close(); err != nil || r.ports[port] {
+			continue
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		r.ports[port] = true
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -146,6 +146,22 @@
 	return s.version, true
 }
 
+// writeIfChanged performs the write of an entry, which changes only if it differs. It
+// reports false while the store is away.
+func (s *store) writeIfChanged(r row) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return false
+	}
+	if string(s.rows[r.name()].Value) == string(r.Value) {
+		s.commit(nil)
+	} else {
+		s.commit([]row{r})
+	}
+	return true
+}
+
 func (s *store) commit(rows []row) {
 	s.version++
 	for _, r := range rows {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -30,8 +30,8 @@
 
 // execution is one run of a request at a server.
 type execution struct {
-	worker, request, tenant string
-	began, ended            time.Time
+	worker, request, tenant, path string
+	began, ended                  time.Time
 }
 
 // worker is a stand-in of a backend server.
@@ -51,10 +51,6 @@
 	runs  []*execution
 	lost  int
 	beats []time.Time
-	// leaving is set when the server has begun to leave. It then says so in its answers
-	// and writes no more.
-	leaving bool
-	closing sync.Once
 }
 
 func (r *rig) startWorker(id, service, zone string, slots int) (*worker, error) {
@@ -75,28 +71,8 @@
 func (w *worker) run() { _ = w.server.Serve(w.listener) }
 
 func (w *worker) close() {
-	w.closing.Do(func() {
-		close(w.stop)
-		_ = w.server.Close()
-	})
-}
-
-// leave begins to leave without a report: the entry is removed. It returns the time of the
-// store's answer.
-func (w *worker) leave() time.Time {
-	w.mu.Lock()
-	w.leaving = true
-	w.mu.Unlock()
-	gone := w.entry()
-	gone.Value, gone.Removed = nil, true
-	w.rig.store.write(gone)
-	return time.Now()
-}
-
-func (w *worker) isLeaving() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.leaving
+	close(w.stop)
+	_ = w.server.Close()
 }
 
 func (w *worker) entry() row {
@@ -114,11 +90,8 @@
 			return
 		case <-time.After(wait):
 		}
-		if w.isLeaving() {
-			return
-		}
 		wait = retryTime
-		if _, ok := w.rig.store.write(); ok {
+		if w.rig.store.writeIfChanged(w.entry()) {
 			w.mu.Lock()
 			w.beats = append(w.beats, time.Now())
 			w.mu.Unlock()
@@ -145,9 +118,6 @@
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	out.Header().Set("Instance-Load", fmt.Sprintf("1,0,%d", w.slots))
 	out.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(idleTime.Seconds())))
-	if w.isLeaving() {
-		out.Header().Set("Server-Leaving", "1")
-	}
 	switch r.URL.Path {
 	case "/health":
 		out.Header().Set("Instance-Id", w.id)
@@ -168,7 +138,7 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	x := &execution{worker: w.id, request: request, tenant: r.Header.Get("Tenant"), began: time.Now()}
+	x := &execution{worker: w.id, request: request, tenant: r.Header.Get("Tenant"), path: r.URL.Path, began: time.Now()}
 	w.mu.Lock()
 	w.runs = append(w.runs, x)
 	w.mu.Unlock()
