Review case 12: inside the site's dose at every moment

The lost answers now follow one entry of the site file (0.6 of the workers, 0.4 of their answers, 4 s) and are counted by worker, in place of being drawn at random for 6 s. The check and its bound are unchanged. Case 13 configures both services.

--- a/review/rig3/lost_report.go
+++ b/review/rig3/lost_report.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,7 +15,7 @@
 	lostWorkers = 3
 	allWorkers  = 5
 	lostPart    = 0.4
-	lostTime    = 6 * time.Second
+	lostTime    = 4 * time.Second
 	// overlapTime is how long a server may work on a request that goes on at another.
 	overlapTime = 400 * time.Millisecond
 	// streamInterval is the time between two requests to a gateway, streamTime how long
@@ -24,42 +24,19 @@
 	streamTime     = 14 * time.Second
 )
 
-// streamConfiguration is the operator's configuration with one route of streams that may
-// be resumed.
-func streamConfiguration() row {
-	return jsonRow("op", "config", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": host, "prefix": "/plan/", "kind": "streaming", "timeoutMs": 10000, "targetLatencyMs": 800, "priority": 1,
-			"service": "pool", "maxAttempts": 2, "public": false, "sticky": true, "streamResume": true, "gapAimMs": 300,
-		}},
-		"services": []any{map[string]any{
-			"name": "pool", "healthPath": "/health", "maxConns": 370, "coldStartS": 0.0, "coldPerS": 0.0,
-			"engine": map[string]any{"slots": 64, "kvCapacityTokens": 493270, "models": []any{map[string]any{"name": "m"}}},
-		}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 350000},
-		"tenants": []any{map[string]any{"name": "hule930", "keys": []string{"key"}, "priority": 1}},
-	})
-}
-
 // lostReport has some servers lose a part of their answers, to streams and to calls for
 // their report. No request may go on at another server while the one before still works on
 // it overlapTime later.
 func lostReport(ctx context.Context, r *rig) (int, error) {
 	r.store.write(streamConfiguration())
-	var mu sync.Mutex
-	losing := false
+	var losing atomic.Bool
 	for i := range allWorkers {
 		w, err := r.startWorker(fmt.Sprintf("i-%02d", i), "pool", fmt.Sprintf("zone-%d", i%4+1), 64)
 		if err != nil {
 			return 0, err
 		}
 		if i < lostWorkers {
-			w.losesAnswer = func(w *worker, request string) bool {
-				mu.Lock()
-				defer mu.Unlock()
-				return losing && fraction(request+w.id) < lostPart
-			}
+			w.streams, w.reports = &loss{on: &losing}, &loss{on: &losing}
 		}
 	}
 	if err := r.startGateways(ctx, 4); err != nil {
@@ -69,9 +46,7 @@
 		return 0, err
 	}
 	setLosing := func(on bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		losing = on
+		losing.Store(on)
 		r.record("servers lose answers: %v", on)
 	}
 	if r.trouble {
@@ -95,12 +70,29 @@
 	return r.countOverlaps(), nil
 }
 
-// fraction returns a number from 0 to 1 that depends on a text.
-func fraction(s string) float64 {
-	h := fnv.New32a()
-	// A hash returns no errors.
-	_, _ = h.Write([]byte(s))
-	return float64(h.Sum32()%1000) / 1000
+// loss chooses the answers that a server loses while on is set: lostPart of them, and at no
+// moment more.
+type loss struct {
+	on *atomic.Bool
+
+	mu sync.Mutex
+	// due is how many answers are to be lost.
+	due float64
+}
+
+// next reports whether the next answer is lost. A nil loss loses none.
+func (l *loss) next() bool {
+	if l == nil || !l.on.Load() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.due += lostPart
+	if l.due < 1 {
+		return false
+	}
+	l.due--
+	return true
 }
 
 // countOverlaps returns how many requests went on at another server while the one before
--- a/review/rig3/other_writer.go
+++ b/review/rig3/other_writer.go
@@ -22,7 +22,7 @@
 // under the id of a model server and names the service of another route. No request of that
 // route may run at the model server.
 func otherWriter(ctx context.Context, r *rig) (int, error) {
-	r.store.write(plainConfiguration(7, nonIdempotent, "key"))
+	r.store.write(twoServices())
 	model, err := r.startWorker("i-00", "pool", "zone-1", 64)
 	if err != nil {
 		return 0, err
@@ -59,6 +59,18 @@
 	return r.countMisrouted(model), nil
 }
 
+// twoServices is the operator's configuration with a plain route to the service desk and a
+// route of streams to the service pool.
+func twoServices() row {
+	return jsonRow("op", "config", map[string]any{
+		"version":  7,
+		"routes":   []any{plainRoute(nonIdempotent), streamRoute()},
+		"services": []any{plainService(), streamService()},
+		"limits":   callerLimits(),
+		"tenants":  tenants("key"),
+	})
+}
+
 // sendPlain sends requests to a gateway at intervals until ctx ends.
 func (r *rig) sendPlain(ctx context.Context, g *gateway) {
 	for sleep(ctx, plainInterval) == nil {
--- a/review/rig3/restored_store.go
+++ b/review/rig3/restored_store.go
@@ -17,35 +17,12 @@
 	revokeTime = 5 * time.Second
 )
 
-// plainPath is the path of requests of the plain route.
-const plainPath = "/status/1"
-
-// Kinds of the plain route.
-const (
-	idempotent    = "idempotent"
-	nonIdempotent = "non_idempotent"
-)
-
-// plainConfiguration is the operator's configuration with one plain route of a kind.
-func plainConfiguration(version int, kind string, keys ...string) row {
-	return jsonRow("op", "config", map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": host, "prefix": "/status/", "kind": kind, "timeoutMs": 1000, "targetLatencyMs": 100, "priority": 2,
-			"service": "desk", "maxAttempts": 2, "public": false, "sticky": false, "streamResume": false,
-		}},
-		"services": []any{map[string]any{"name": "desk", "healthPath": "/health", "maxConns": 110, "coldStartS": 0.0, "coldPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 350000},
-		"tenants":  []any{map[string]any{"name": "hule930", "keys": keys, "priority": 1}},
-	})
-}
-
 // restoredStore takes a key away while the store is away for a moment. The store comes
 // back from a copy that is some seconds old, the operator and the servers write again, and
 // requests with the key must not run any more revokeTime after the store's answer.
 func restoredStore(ctx context.Context, r *rig) (int, error) {
 	const kept, removed = "key-kept", "key-removed"
-	r.store.write(plainConfiguration(7, idempotent, kept, removed))
+	r.store.write(plainConfiguration(7, kept, removed))
 	for i := range 16 {
 		if _, err := r.startWorker(fmt.Sprintf("i-%02d", i), "desk", fmt.Sprintf("zone-%d", i%4+1), 6); err != nil {
 			return 0, err
@@ -78,7 +55,7 @@
 		r.record("the store is back with version %d", backup.version)
 	}
 	// The operator has tried to write this since the store was away.
-	version, ok := r.store.write(plainConfiguration(9, idempotent, kept))
+	version, ok := r.store.write(plainConfiguration(9, kept))
 	if !ok {
 		return 0, fmt.Errorf("the store did not take the configuration")
 	}
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -44,8 +44,8 @@
 	listener net.Listener
 	server   *http.Server
 	stop     chan struct{}
-	// losesAnswer reports whether the answer to a request is lost.
-	losesAnswer func(w *worker, request string) bool
+	// streams and reports choose the answers that are lost.
+	streams, reports *loss
 
 	mu    sync.Mutex
 	runs  []*execution
@@ -169,7 +169,7 @@
 		first++
 	}
 	time.Sleep(firstTokenTime)
-	if w.losesAnswer != nil && w.losesAnswer(w, x.request) {
+	if w.streams.next() {
 		w.reset(out)
 		w.mu.Lock()
 		w.lost++
@@ -208,7 +208,7 @@
 // report answers with the state of the server as it was reportLag ago. With REPORTS=0 this
 // answer is never lost.
 func (w *worker) report(out http.ResponseWriter) {
-	if id := newID(); os.Getenv("REPORTS") != "0" && w.losesAnswer != nil && w.losesAnswer(w, id) {
+	if os.Getenv("REPORTS") != "0" && w.reports.next() {
 		w.rig.record("%s loses its answer to a call for its report", w.id)
 		w.reset(out)
 		return
