--- a/internal/caller/host/fixture_test.go
+++ b/internal/caller/host/fixture_test.go
@@ -75,6 +75,7 @@
 
 func (r *recorder) StoreUnreachable(feed string, _ time.Duration, _ error) { r.add("lost %s", feed) }
 func (r *recorder) StoreReachable(feed string, _ time.Duration)            { r.add("regained %s", feed) }
+func (r *recorder) StoreRestored(feed string, _, _ galenalatch.Position)   { r.add("restored %s", feed) }
 func (r *recorder) ConfigurationApplied(c *galenalatch.Configuration, _ galenalatch.Position) {
 	r.add("applied")
 }
--- a/internal/decide/proof/tracker.go
+++ b/internal/decide/proof/tracker.go
@@ -19,6 +19,10 @@
 	newestStamp time.Duration
 }
 
+// Restart forgets the offset of the store's clock, such as when another store answers in
+// place of it. The next call to Observe determines it anew.
+func (t *Tracker) Restart() { t.observed = false }
+
 // Observe records a call to the store: when it was sent, when its answer was
 // received, and the stamp in the answer.
 func (t *Tracker) Observe(sent, received, stamp time.Duration) {
--- a/internal/decide/proof/tracker_test.go
+++ b/internal/decide/proof/tracker_test.go
@@ -11,7 +11,8 @@
 const ms = time.Millisecond
 
 // Guards against ages that are less than the true age, and against bounds of
-// the clock offset that are kept when the store's clock restarts.
+// the clock offset that are kept when the store's clock restarts or another store
+// answers.
 func TestTracker(t *testing.T) {
 	var k Tracker
 	_, ok := k.Age(0)
@@ -56,6 +57,14 @@
 	age, _ = k.Age(7004 * ms)
 	assert.Equal(t, age, 4*ms)
 	assert.Equal(t, k.Uncertainty(), 4*ms)
+
+	// Another store, whose clock is a little behind, has taken the place of the first.
+	k.Restart()
+	k.Relayed(7500*ms, 99_700*ms)
+	k.Observe(8000*ms, 8004*ms, 100_200*ms)
+	age, _ = k.Age(8004 * ms)
+	assert.Equal(t, age, 4*ms)
+	assert.Equal(t, k.Uncertainty(), 4*ms)
 }
 
 // Guards against an age less than the time since the store answered, for any
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +22,10 @@
 	minBackoff          = 100 * time.Millisecond
 	maxBackoff          = 800 * time.Millisecond
 	maxListeningBackoff = 2400 * time.Millisecond
+	// wholeTableSpread is the time over which routers that listen to others read the
+	// whole table when the changes after their position are gone, since all of them
+	// learn of it together.
+	wholeTableSpread = 400 * time.Millisecond
 )
 
 // Events receives the changes of the store's availability to a feed.
@@ -33,6 +36,10 @@
 	// StoreReachable is called with the first call that succeeds again and the
 	// time since the first failed one.
 	StoreReachable(feed string, after time.Duration)
+	// StoreRestored is called when a feed has read the whole table from a store
+	// that came back from a copy: the newest position seen before and that of the
+	// table.
+	StoreRestored(feed string, before, now galenalatch.Position)
 }
 
 // Feed follows one table. Its exported fields are set before Run and not
@@ -41,10 +48,10 @@
 	Name string
 	// Wait is how long the store holds a call when there is no change.
 	Wait time.Duration
-	// Read reads and applies the changes after the version after, or the whole
-	// table for galenalatch.ReadAll. It returns an error for an answer older
-	// than the version seen, see CheckVersion.
-	Read   func(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error)
+	// Read reads and applies the changes after the position after, or the whole
+	// table for galenalatch.ReadAll. It applies no answer that CheckAnswer refuses
+	// for after and the newest position seen.
+	Read   func(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error)
 	Events Events
 	// MinInterval is the shortest time between two calls. Changes that come
 	// together then share a call. Answers that another router has relayed cost
@@ -54,8 +61,8 @@
 	// a router is also told by it that the store is back after an outage.
 	Listens func() bool
 
-	after            uint64
-	seen             uint64
+	after            galenalatch.Position
+	seen             galenalatch.Position
 	unreachableSince time.Time
 	backoff          time.Duration
 }
@@ -88,40 +95,44 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout(f.after, wait))
 	defer cancel()
-	p, err := f.Read(ctx, f.after, f.seen, wait)
+	s, err := f.Read(ctx, f.after, f.seen, wait)
 	if err != nil {
 		return false, err
 	}
-	f.after, f.seen = p.Version, p.Version
+	before := f.seen
+	f.after, f.seen = s.Position, s.Position
+	if before != (galenalatch.Position{}) && s.Era != before.Era {
+		f.Events.StoreRestored(f.Name, before, s.Position)
+	}
 	if !f.unreachableSince.IsZero() {
 		f.Events.StoreReachable(f.Name, time.Since(f.unreachableSince))
 		f.unreachableSince = time.Time{}
 	}
 	f.backoff = 0
-	return p.Relayed, nil
+	return s.Relayed, nil
 }
 
 func (f *Feed) listens() bool {
 	return f.Listens != nil && f.Listens()
 }
 
-// CallTimeout returns how long a call may take for the changes after a version,
-// or for the whole table, when the store may hold it for the time wait. The
+// CallTimeout returns how long a call may take for the changes after a
+// position, or for the whole table, when the store may hold it for the time wait. The
 // store does not hold a read of the whole table, whatever the wait.
-func CallTimeout(after uint64, wait time.Duration) time.Duration {
+func CallTimeout(after galenalatch.Position, wait time.Duration) time.Duration {
 	if after == galenalatch.ReadAll {
 		return wholeTableTimeout
 	}
 	return wait + AnswerTimeout
 }
 
-// CheckVersion returns err, or an error when the position is before the version
-// seen, so that a copy of the table never takes over older data.
-func CheckVersion(p galenalatch.Position, seen uint64, err error) error {
-	if err == nil && p.Version < seen {
-		err = fmt.Errorf("the store answered with version %d after version %d", p.Version, seen)
+// CheckAnswer returns err, or the error of galenalatch.Stamp.CheckRead, so that a
+// router's copy of a table never takes over older data or changes of another era.
+func CheckAnswer(s galenalatch.Stamp, after, seen galenalatch.Position, err error) error {
+	if err != nil {
+		return err
 	}
-	return err
+	return s.CheckRead(after, seen)
 }
 
 // backOff waits before the next call. The pause is random, so that routers that
@@ -133,6 +144,9 @@
 func (f *Feed) backOff(ctx context.Context, err error, took time.Duration) {
 	if errors.Is(err, galenalatch.ErrHistoryGone) {
 		f.after = galenalatch.ReadAll
+		if f.listens() {
+			f.sleep(ctx, rand.N(wholeTableSpread))
+		}
 		return
 	}
 	if f.unreachableSince.IsZero() {
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -81,10 +81,10 @@
 	return f.Run(ctx)
 }
 
-func (l *List) read(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+func (l *List) read(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 	u, err := l.Store.Rows(ctx, table, after, wait)
-	if err := feed.CheckVersion(u.Position, seen, err); err != nil {
-		return u.Position, err
+	if err := feed.CheckAnswer(u.Stamp, after, seen, err); err != nil {
+		return u.Stamp, err
 	}
 	l.mu.Lock()
 	changed := u.Complete || len(u.Rows) > 0
@@ -104,9 +104,9 @@
 		l.Changed(list, token)
 	}
 	if err := l.ensureRows(ctx); err != nil {
-		return u.Position, err
+		return u.Stamp, err
 	}
-	return u.Position, nil
+	return u.Stamp, nil
 }
 
 // members returns the sorted list and the token. l.mu must be held.
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -20,8 +20,9 @@
 // outageCounter counts how often the store became unreachable.
 type outageCounter struct{ outages atomic.Int64 }
 
-func (c *outageCounter) StoreUnreachable(string, time.Duration, error) { c.outages.Add(1) }
-func (*outageCounter) StoreReachable(string, time.Duration)            {}
+func (c *outageCounter) StoreUnreachable(string, time.Duration, error)                  { c.outages.Add(1) }
+func (*outageCounter) StoreReachable(string, time.Duration)                             {}
+func (*outageCounter) StoreRestored(string, galenalatch.Position, galenalatch.Position) {}
 
 // router is a member with the newest list that it has received.
 type router struct {
--- a/internal/fleet/relay/store.go
+++ b/internal/fleet/relay/store.go
@@ -85,6 +85,14 @@
 	// unheard is the number of times that a feed was read from the store since the
 	// last relayed answer, because none came in time.
 	unheard map[string]int
+	// eras is the latest era of each feed.
+	eras map[string]knownEra
+}
+
+// knownEra is an era with the time at which the router first heard of it.
+type knownEra struct {
+	era   uint64
+	heard time.Time
 }
 
 // New returns a store in mode Direct.
@@ -92,6 +100,7 @@
 	return &Store{
 		Options: o, queues: make(map[string][]galenalatch.StoreAnswer),
 		arrived: make(map[string]chan struct{}), unheard: make(map[string]int),
+		eras: make(map[string]knownEra),
 	}
 }
 
@@ -121,6 +130,7 @@
 	if remote && s.currentMode() == Standby {
 		s.Send(m)
 	}
+	s.hearEra(m.Feed, m.Era)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	queue := append(s.queues[m.Feed], m)
@@ -134,10 +144,10 @@
 	}
 }
 
-// dequeue returns a queued answer that covers the changes after a version. It
-// reports a gap when changes after that version are missing from the queue.
-// Otherwise it returns a channel that is closed when another answer arrives.
-func (s *Store) dequeue(feed string, after uint64) (m galenalatch.StoreAnswer, ok, gap bool, arrived <-chan struct{}) {
+// dequeue returns a queued answer that covers the changes after a position, or one
+// of a later era. It reports a gap when changes after that position are missing from
+// the queue. Otherwise it returns a channel that is closed when another answer arrives.
+func (s *Store) dequeue(feed string, after galenalatch.Position) (m galenalatch.StoreAnswer, ok, gap bool, arrived <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	queue := s.queues[feed]
@@ -146,9 +156,9 @@
 		queue = queue[1:]
 		s.queues[feed] = queue
 		switch {
-		case m.Version < after:
-			// The answer is older than the version that was read.
-		case m.After > after:
+		case m.Stamp().Before(after):
+			// The answer is older than the position that was read.
+		case m.Era == after.Era && after.Before(m.Start()):
 			return m, false, true, nil
 		default:
 			s.unheard[feed] = 0
@@ -164,7 +174,7 @@
 // awaitRelayed returns the next relayed answer. It reports false when the
 // router should call the store itself, such as for the whole table or for a
 // call without a wait.
-func (s *Store) awaitRelayed(ctx context.Context, feed string, after uint64, wait time.Duration) (galenalatch.StoreAnswer, bool) {
+func (s *Store) awaitRelayed(ctx context.Context, feed string, after galenalatch.Position, wait time.Duration) (galenalatch.StoreAnswer, bool) {
 	mode := s.currentMode()
 	if mode != Listening && mode != Standby || after == galenalatch.ReadAll || wait == 0 {
 		return galenalatch.StoreAnswer{}, false
@@ -195,7 +205,7 @@
 
 // storeWait returns how long the store may hold a call of this router. A router that
 // received no answer in time asks for the changes without a wait; a relay then polls.
-func (s *Store) storeWait(feed string, after uint64, wait time.Duration) time.Duration {
+func (s *Store) storeWait(feed string, after galenalatch.Position, wait time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -211,7 +221,7 @@
 
 // withCallTimeout bounds a call that the store may hold for the time wait, so
 // that a lost answer does not delay the next call for longer.
-func withCallTimeout(ctx context.Context, after uint64, wait time.Duration) (context.Context, context.CancelFunc) {
+func withCallTimeout(ctx context.Context, after galenalatch.Position, wait time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, feed.CallTimeout(after, wait))
 }
 
@@ -234,20 +244,53 @@
 	return slowRelayTimeout
 }
 
-// forward sends an answer of the store to the other routers in the modes Relaying and
-// Standby. Answers with the whole table are not sent.
-func (s *Store) forward(m galenalatch.StoreAnswer) {
+// forward sends an answer of the store to a read after a position to the other routers
+// in the modes Relaying and Standby. Answers with the whole table are not sent, but for
+// the first one of a new era their era is: it tells those who listen to read the whole
+// table too.
+func (s *Store) forward(after galenalatch.Position, m galenalatch.StoreAnswer) {
+	newEra := s.hearEra(m.Feed, m.Era)
 	mode := s.currentMode()
-	if (mode == Relaying || mode == Standby) && m.After != galenalatch.ReadAll {
+	if mode != Relaying && mode != Standby {
+		return
+	}
+	switch {
+	case after != galenalatch.ReadAll:
+		m.After = after.Version
 		s.Send(m)
+	case newEra:
+		s.Send(galenalatch.StoreAnswer{Feed: m.Feed, Era: m.Era})
+	}
+}
+
+// hearEra records the era of an answer. It reports whether the feed was in an earlier era
+// before.
+func (s *Store) hearEra(feed string, era uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, known := s.eras[feed]
+	if known && era <= before.era {
+		return false
+	}
+	s.eras[feed] = knownEra{era: era, heard: time.Now()}
+	return known
+}
+
+// eraAge returns the time for which the router has known of an era of a feed.
+func (s *Store) eraAge(feed string, era uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k, ok := s.eras[feed]; ok && k.era == era {
+		return time.Since(k.heard)
 	}
+	return 0
 }
 
 // Operators implements galenalatch.Store.
-func (s *Store) Operators(ctx context.Context, after uint64, wait time.Duration) (galenalatch.OperatorUpdate, error) {
+func (s *Store) Operators(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.OperatorUpdate, error) {
 	if m, ok := s.awaitRelayed(ctx, operatorFeed, after, wait); ok {
 		return galenalatch.OperatorUpdate{
-			Position: m.Position(), Configuration: m.Configuration, OutOfService: m.OutOfService, BackInService: m.BackInService,
+			Stamp: m.Stamp(), Configuration: m.Configuration, OutOfService: m.OutOfService, BackInService: m.BackInService,
 			Rollouts: m.Rollouts,
 		}, nil
 	}
@@ -256,8 +299,8 @@
 	defer cancel()
 	u, err := s.Store.Operators(ctx, after, wait)
 	if err == nil {
-		s.forward(galenalatch.StoreAnswer{
-			Feed: operatorFeed, After: after, Version: u.Version, Clock: u.Clock,
+		s.forward(after, galenalatch.StoreAnswer{
+			Feed: operatorFeed, Era: u.Era, Version: u.Version, Clock: u.Clock,
 			Configuration: u.Configuration, OutOfService: u.OutOfService, BackInService: u.BackInService,
 			Rollouts: u.Rollouts,
 		})
@@ -266,33 +309,34 @@
 }
 
 // Servers implements galenalatch.Store.
-func (s *Store) Servers(ctx context.Context, after uint64, wait time.Duration) (galenalatch.ServerUpdate, error) {
+func (s *Store) Servers(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.ServerUpdate, error) {
 	if m, ok := s.awaitRelayed(ctx, serverFeed, after, wait); ok {
-		return galenalatch.ServerUpdate{Position: m.Position(), Registered: m.Registered, Removed: m.Removed}, nil
+		return galenalatch.ServerUpdate{Stamp: m.Stamp(), Registered: m.Registered, Removed: m.Removed}, nil
 	}
 	wait = s.storeWait(serverFeed, after, wait)
 	ctx, cancel := withCallTimeout(ctx, after, wait)
 	defer cancel()
 	u, err := s.Store.Servers(ctx, after, wait)
 	if err == nil {
-		s.forward(galenalatch.StoreAnswer{
-			Feed: serverFeed, After: after, Version: u.Version, Clock: u.Clock, Registered: u.Registered, Removed: u.Removed,
+		s.forward(after, galenalatch.StoreAnswer{
+			Feed: serverFeed, Era: u.Era, Version: u.Version, Clock: u.Clock, Registered: u.Registered, Removed: u.Removed,
 		})
+		u.EraAge = s.eraAge(serverFeed, u.Era)
 	}
 	return u, err
 }
 
 // Rows implements galenalatch.Store.
-func (s *Store) Rows(ctx context.Context, table string, after uint64, wait time.Duration) (galenalatch.RowUpdate, error) {
+func (s *Store) Rows(ctx context.Context, table string, after galenalatch.Position, wait time.Duration) (galenalatch.RowUpdate, error) {
 	if m, ok := s.awaitRelayed(ctx, table, after, wait); ok {
-		return galenalatch.RowUpdate{Position: m.Position(), Rows: m.Rows}, nil
+		return galenalatch.RowUpdate{Stamp: m.Stamp(), Rows: m.Rows}, nil
 	}
 	wait = s.storeWait(table, after, wait)
 	ctx, cancel := withCallTimeout(ctx, after, wait)
 	defer cancel()
 	u, err := s.Store.Rows(ctx, table, after, wait)
 	if err == nil {
-		s.forward(galenalatch.StoreAnswer{Feed: table, After: after, Version: u.Version, Clock: u.Clock, Rows: u.Rows})
+		s.forward(after, galenalatch.StoreAnswer{Feed: table, Era: u.Era, Version: u.Version, Clock: u.Clock, Rows: u.Rows})
 	}
 	return u, err
 }
--- a/internal/fleet/relay/store_test.go
+++ b/internal/fleet/relay/store_test.go
@@ -42,14 +42,14 @@
 	after := galenalatch.ReadAll
 	for ctx.Err() == nil {
 		if u, err := p.relay.Servers(ctx, after, wait); err == nil {
-			after = u.Version
+			after = u.Position
 		}
 	}
 }
 
 // awaitChange reads the feed of servers with the listening router until there
 // is a change.
-func (p *pair) awaitChange(t *testing.T, after uint64, limit time.Duration) (galenalatch.ServerUpdate, bool) {
+func (p *pair) awaitChange(t *testing.T, after galenalatch.Position, limit time.Duration) (galenalatch.ServerUpdate, bool) {
 	t.Helper()
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
@@ -58,7 +58,7 @@
 		if len(u.Registered)+len(u.Removed) > 0 {
 			return u, true
 		}
-		after = u.Version
+		after = u.Position
 	}
 	return galenalatch.ServerUpdate{}, false
 }
@@ -72,7 +72,7 @@
 		go p.loop(ctx)
 		u, err := p.listener.Servers(t.Context(), galenalatch.ReadAll, wait)
 		assert.NilError(t, err)
-		after := u.Version
+		after := u.Position
 		calls, since := p.store.Calls(), time.Now()
 		for range 5 {
 			u, err = p.listener.Servers(t.Context(), after, wait)
@@ -87,7 +87,7 @@
 		p.store.Register(galenalatch.Registration{ID: "s1"})
 		u, ok := p.awaitChange(t, after, time.Second)
 		assert.Assert(t, ok && u.Relayed && u.Registered[0].ID == "s1")
-		after = u.Version
+		after = u.Position
 
 		// One answer is lost.
 		p.cut.Store(true)
@@ -99,7 +99,7 @@
 		assert.Assert(t, ok)
 		assert.Equal(t, len(u.Registered), 2)
 		assert.Assert(t, !u.Relayed)
-		after = u.Version
+		after = u.Position
 
 		// The relaying router is cut off: changes still arrive within the
 		// bound.
@@ -120,12 +120,64 @@
 	p := newPair()
 	p.listener.Deliver(galenalatch.StoreAnswer{Feed: serverFeed, After: 1, Version: 4, Removed: []galenalatch.ServerID{"s1"}}, false)
 	p.listener.Deliver(galenalatch.StoreAnswer{Feed: serverFeed, After: 4, Version: 9}, false)
-	u, err := p.listener.Servers(t.Context(), 8, wait)
+	u, err := p.listener.Servers(t.Context(), galenalatch.Position{Version: 8}, wait)
 	assert.NilError(t, err)
 	assert.Equal(t, u.Version, uint64(9))
 	assert.Equal(t, len(u.Removed), 0)
 }
 
+// Guards against routers that hear of the store's return only at the next change, or not
+// at all because the store has given out their version again; against a second message
+// about it; against a table read late that counts as one read at the return; and against
+// a gap between versions of two eras that sends a router to the
+// store for changes that it does not have.
+func TestNewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		p.store.Register(galenalatch.Registration{ID: "s1"})
+		copied := p.store.Backup()
+		p.store.Register(galenalatch.Registration{ID: "s2"})
+		before := galenalatch.Position{Version: 2}
+		for _, s := range []*Store{p.relay, p.listener} {
+			u, err := s.Servers(t.Context(), galenalatch.ReadAll, wait)
+			assert.NilError(t, err)
+			assert.Equal(t, u.Position, before)
+		}
+		assert.Equal(t, len(p.listener.queues[serverFeed]), 0, "the first table tells of no return")
+		p.store.Restore(copied)
+		for range 2 {
+			_, err := p.relay.Servers(t.Context(), galenalatch.ReadAll, wait)
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, len(p.listener.queues[serverFeed]), 1, "the return is told once")
+		start := time.Now()
+		u, err := p.listener.Servers(t.Context(), before, wait)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		assert.Assert(t, u.Relayed && u.Era == 1)
+		assert.ErrorIs(t, feed.CheckAnswer(u.Stamp, before, before, nil), galenalatch.ErrHistoryGone)
+
+		// The listening router reads the table late.
+		time.Sleep(3 * time.Second)
+		u, err = p.listener.Servers(t.Context(), galenalatch.ReadAll, wait)
+		assert.NilError(t, err)
+		assert.Equal(t, u.EraAge, 3*time.Second)
+
+		// An answer of a later era that does not begin at the router's version.
+		p.listener.Deliver(galenalatch.StoreAnswer{Feed: serverFeed, Era: 2, After: 9, Version: 9}, false)
+		u, err = p.listener.Servers(t.Context(), galenalatch.Position{Era: 1, Version: 3}, wait)
+		assert.NilError(t, err)
+		assert.Equal(t, u.Position, galenalatch.Position{Era: 2, Version: 9})
+
+		// One of an earlier era is skipped, whatever its version.
+		p.listener.Deliver(galenalatch.StoreAnswer{Feed: serverFeed, Era: 1, After: 1, Version: 99}, false)
+		p.listener.Deliver(galenalatch.StoreAnswer{Feed: serverFeed, Era: 2, After: 9, Version: 10}, false)
+		u, err = p.listener.Servers(t.Context(), galenalatch.Position{Era: 2, Version: 9}, wait)
+		assert.NilError(t, err)
+		assert.Equal(t, u.Position, galenalatch.Position{Era: 2, Version: 10})
+	})
+}
+
 // Guards against feeds that are not forwarded, against failed calls that are,
 // and against a listening router that waits although it asks for the whole
 // table or for a call without a wait.
@@ -134,18 +186,18 @@
 		p := newPair()
 		p.store.Configure(&galenalatch.Configuration{Version: 1})
 		ctx := t.Context()
-		calls := map[string]func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error){
-			operatorFeed: func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error) {
+		calls := map[string]func(s *Store, after galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error){
+			operatorFeed: func(s *Store, after galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 				u, err := s.Operators(ctx, after, wait)
-				return u.Position, err
+				return u.Stamp, err
 			},
-			serverFeed: func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error) {
+			serverFeed: func(s *Store, after galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 				u, err := s.Servers(ctx, after, wait)
-				return u.Position, err
+				return u.Stamp, err
 			},
-			"routers": func(s *Store, after uint64, wait time.Duration) (galenalatch.Position, error) {
+			"routers": func(s *Store, after galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 				u, err := s.Rows(ctx, "routers", after, wait)
-				return u.Position, err
+				return u.Stamp, err
 			},
 		}
 		for feed, call := range calls {
@@ -153,22 +205,22 @@
 			assert.NilError(t, err)
 			assert.Assert(t, !first.Relayed, "%s: everything is read from the store", feed)
 			start := time.Now()
-			_, err = call(p.listener, first.Version, 0)
+			_, err = call(p.listener, first.Position, 0)
 			assert.NilError(t, err)
 			assert.Equal(t, time.Since(start), time.Duration(0), "%s: a call that must not wait", feed)
-			got := make(chan galenalatch.Position, 1)
+			got := make(chan galenalatch.Stamp, 1)
 			go func() {
-				next, err := call(p.listener, first.Version, wait)
+				next, err := call(p.listener, first.Position, wait)
 				assert.Check(t, err)
 				got <- next
 			}()
 			synctest.Wait()
-			_, err = call(p.relay, first.Version, wait)
+			_, err = call(p.relay, first.Position, wait)
 			assert.NilError(t, err)
 			assert.Assert(t, (<-got).Relayed, "%s", feed)
 
 			p.store.SetFault(store.RefuseCalls)
-			_, err = call(p.relay, first.Version, wait)
+			_, err = call(p.relay, first.Position, wait)
 			assert.Assert(t, err != nil)
 			p.store.SetFault(store.NoFault)
 			assert.Equal(t, len(p.listener.queues[feed]), 0, "%s: a failed call proves nothing", feed)
@@ -184,7 +236,7 @@
 		u, err := s.Servers(t.Context(), galenalatch.ReadAll, wait)
 		assert.NilError(t, err)
 		start := time.Now()
-		_, err = s.Servers(t.Context(), u.Version, wait)
+		_, err = s.Servers(t.Context(), u.Position, wait)
 		assert.NilError(t, err)
 		assert.Equal(t, time.Since(start), wait)
 	})
@@ -201,7 +253,7 @@
 			p.store.SetFault(store.Hang)
 			p.listener.SetMode(mode)
 			start := time.Now()
-			_, err := p.listener.Servers(t.Context(), 0, wait)
+			_, err := p.listener.Servers(t.Context(), galenalatch.Position{}, wait)
 			assert.ErrorIs(t, err, context.DeadlineExceeded)
 			assert.Equal(t, time.Since(start), limit)
 		}
@@ -230,7 +282,7 @@
 		listen := func(d time.Duration) int {
 			calls, end := p.store.Calls(), time.Now().Add(d)
 			for time.Now().Before(end) {
-				u, err = p.listener.Servers(ctx, u.Version, wait)
+				u, err = p.listener.Servers(ctx, u.Position, wait)
 				assert.NilError(t, err)
 				assert.Assert(t, u.Relayed, "the listening router called the store")
 			}
--- a/internal/fleet/rollout/controller.go
+++ b/internal/fleet/rollout/controller.go
@@ -82,8 +82,8 @@
 
 	mu       sync.Mutex
 	services map[string]*service
-	// operatorsSeen is the version of the store up to which all orders are known.
-	operatorsSeen uint64
+	// operatorsSeen is the position of the store up to which all orders are known.
+	operatorsSeen galenalatch.Position
 	// storeStart is the local time at which the store's clock was 0.
 	storeStart time.Time
 	// following is set while a running order needs the status table.
@@ -123,18 +123,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.operatorsSeen = max(c.operatorsSeen, u.Version)
+	if c.operatorsSeen.Before(u.Position) {
+		c.operatorsSeen = u.Position
+	}
 	if start := now.Add(-u.Clock); c.storeStart.IsZero() || start.Before(c.storeStart) {
 		c.storeStart = start
 	}
 	ordered := make(map[string]bool)
 	for _, o := range u.Rollouts {
 		ordered[o.Service] = true
-		c.service(o.Service).setOrder(now, o, u.Clock)
+		c.service(o.Service).setOrder(now, o, u.Stamp)
 	}
 	for name, s := range c.services {
 		if u.Complete && !ordered[name] {
-			s.setOrder(now, galenalatch.RolloutOrder{Service: name, Removed: true}, u.Clock)
+			s.setOrder(now, galenalatch.RolloutOrder{Service: name, Removed: true}, u.Stamp)
 		}
 	}
 	c.look(now)
@@ -149,7 +151,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if u.Version <= c.operatorsSeen {
+	if !c.operatorsSeen.Before(u.Position) {
 		return
 	}
 	held := false
@@ -161,7 +163,7 @@
 			known[r.Service] = uses
 		}
 		if _, known := uses[r.Version]; !known && len(uses) > 0 && !r.Leaving {
-			c.service(r.Service).hold(now, r.Version, u.Version)
+			c.service(r.Service).hold(now, r.Version, u.Position)
 			held = true
 		}
 	}
--- a/internal/fleet/rollout/fakes_test.go
+++ b/internal/fleet/rollout/fakes_test.go
@@ -42,7 +42,7 @@
 
 var errCut = errors.New("cut off")
 
-func (s *routerStore) Rows(ctx context.Context, table string, after uint64, wait time.Duration) (galenalatch.RowUpdate, error) {
+func (s *routerStore) Rows(ctx context.Context, table string, after galenalatch.Position, wait time.Duration) (galenalatch.RowUpdate, error) {
 	if s.cut.Load() {
 		return galenalatch.RowUpdate{}, errCut
 	}
--- a/internal/fleet/rollout/fixture_test.go
+++ b/internal/fleet/rollout/fixture_test.go
@@ -31,15 +31,16 @@
 // noEvents ignores all events but those counted.
 type noEvents struct{ invalid atomic.Int64 }
 
-func (*noEvents) StoreUnreachable(string, time.Duration, error)      {}
-func (*noEvents) StoreReachable(string, time.Duration)               {}
-func (e *noEvents) Invalid(string, error)                            { e.invalid.Add(1) }
-func (*noEvents) RolloutOrdered(galenalatch.RolloutOrder)            {}
-func (*noEvents) RolloutChanged(galenalatch.RolloutStatus, Progress) {}
-func (*noEvents) RolloutStopped(galenalatch.RolloutOrder, string)    {}
-func (*noEvents) RolloutWritten(galenalatch.RolloutStatus, error)    {}
-func (*noEvents) RolloutAnswered(service, version string, bad bool)  {}
-func (f *fleet) sound(string, time.Duration) bool                    { return true }
+func (*noEvents) StoreUnreachable(string, time.Duration, error)                    {}
+func (*noEvents) StoreReachable(string, time.Duration)                             {}
+func (*noEvents) StoreRestored(string, galenalatch.Position, galenalatch.Position) {}
+func (e *noEvents) Invalid(string, error)                                          { e.invalid.Add(1) }
+func (*noEvents) RolloutOrdered(galenalatch.RolloutOrder)                          {}
+func (*noEvents) RolloutChanged(galenalatch.RolloutStatus, Progress)               {}
+func (*noEvents) RolloutStopped(galenalatch.RolloutOrder, string)                  {}
+func (*noEvents) RolloutWritten(galenalatch.RolloutStatus, error)                  {}
+func (*noEvents) RolloutAnswered(service, version string, bad bool)                {}
+func (f *fleet) sound(string, time.Duration) bool                                  { return true }
 func (f *fleet) failing(version string, _ time.Duration) bool {
 	return version != "v2" || rand.IntN(10) > 3
 }
@@ -125,7 +126,7 @@
 // register lists servers of a version at all routers.
 func (f *fleet) register(version string, at uint64) {
 	for _, r := range f.routers {
-		u := galenalatch.ServerUpdate{Position: galenalatch.Position{Version: at}}
+		u := galenalatch.ServerUpdate{Stamp: galenalatch.Stamp{Position: galenalatch.Position{Version: at}}}
 		for i := range 8 {
 			u.Registered = append(u.Registered, galenalatch.Registration{
 				ID: galenalatch.ServerID(fmt.Sprint(version, "-", i)), Service: testService, Version: version, Address: "10.0.0.1:1", DataCentre: "a", Slots: 200,
--- a/internal/fleet/rollout/order.go
+++ b/internal/fleet/rollout/order.go
@@ -22,6 +22,8 @@
 // order is what this router knows of an order. The lock of its service guards it.
 type order struct {
 	galenalatch.RolloutOrder
+	// position is that of the order's row, in the era in which it was read.
+	position galenalatch.Position
 	key      uint32
 	ordered  time.Time
 	deadline time.Time
@@ -87,9 +89,10 @@
 	report galenalatch.RolloutReport
 }
 
-func newOrder(now time.Time, o galenalatch.RolloutOrder, clock, within time.Duration) *order {
+func newOrder(now time.Time, o galenalatch.RolloutOrder, stamp galenalatch.Stamp, within time.Duration) *order {
 	return &order{
-		RolloutOrder: o, key: orderKey(o), ordered: now, deadline: now.Add(o.Duration), storeDeadline: clock + o.Duration, since: now,
+		RolloutOrder: o, position: galenalatch.Position{Era: stamp.Era, Version: o.Version}, key: orderKey(o),
+		ordered: now, deadline: now.Add(o.Duration), storeDeadline: stamp.Clock + o.Duration, since: now,
 		exposure: rollout.NewExposure(), evidence: make(rollout.Evidence),
 		proofLimit: time.Duration(proofPart * float64(within)), reports: make(map[galenalatch.RouterID][]timedReport),
 	}
--- a/internal/fleet/rollout/restart_test.go
+++ b/internal/fleet/rollout/restart_test.go
@@ -98,7 +98,7 @@
 		f.readOrders()
 		f.tick(time.Second)
 		r := f.routers[0]
-		f.register("v4", r.operatorsSeen+1)
+		f.register("v4", r.operatorsSeen.Version+1)
 		served := func(version string) bool {
 			c := r.Choose(time.Now(), testService, "a", rand.Uint64())
 			for {
--- a/internal/fleet/rollout/service.go
+++ b/internal/fleet/rollout/service.go
@@ -39,8 +39,8 @@
 	// row is the version of the status row, whatever order it is of.
 	row uint64
 	// avoid holds the versions that get no requests, until a time; zero stands for
-	// ever. held are versions that wait for the operators' table to reach a version of
-	// the store.
+	// ever. held are versions that wait for the operators' table to reach a position
+	// of the store.
 	avoid map[string]time.Time
 	held  map[string]hold
 	// othersSeen is when servers of versions that are not avoided were last listed, or
@@ -59,8 +59,8 @@
 
 // hold is a version that waits for the operators' table.
 type hold struct {
-	version uint64
-	until   time.Time
+	position galenalatch.Position
+	until    time.Time
 }
 
 func newService(c *Controller, name string) *service {
@@ -68,7 +68,7 @@
 }
 
 // setOrder replaces the order. A version that the order before has not proved is avoided.
-func (s *service) setOrder(now time.Time, o galenalatch.RolloutOrder, clock time.Duration) {
+func (s *service) setOrder(now time.Time, o galenalatch.RolloutOrder, stamp galenalatch.Stamp) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.order
@@ -83,7 +83,7 @@
 		return
 	}
 	delete(s.avoid, o.Target)
-	s.order = newOrder(now, o, clock, s.c.Within)
+	s.order = newOrder(now, o, stamp, s.c.Within)
 	if old != nil {
 		// The status table is followed already.
 		s.order.statusProof, s.order.currentSince = old.statusProof, old.currentSince
@@ -92,12 +92,12 @@
 	s.c.Events.RolloutOrdered(o)
 }
 
-// hold avoids a version until the operators' table has reached a version of the store.
-func (s *service) hold(now time.Time, version string, at uint64) {
+// hold avoids a version until the operators' table has reached a position of the store.
+func (s *service) hold(now time.Time, version string, at galenalatch.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.held[version]; !ok {
-		s.held[version] = hold{version: at, until: now.Add(maxHold)}
+		s.held[version] = hold{position: at, until: now.Add(maxHold)}
 	}
 }
 
@@ -109,7 +109,7 @@
 	defer s.mu.Unlock()
 	s.uses = uses
 	for v, h := range s.held {
-		if s.c.operatorsSeen >= h.version || now.After(h.until) {
+		if !s.c.operatorsSeen.Before(h.position) || now.After(h.until) {
 			delete(s.held, v)
 		}
 	}
--- a/internal/fleet/rollout/status.go
+++ b/internal/fleet/rollout/status.go
@@ -29,14 +29,14 @@
 func (c *Controller) follow(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	read := func(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
-		p, err := c.readStatus(ctx, after, seen, wait)
+	read := func(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
+		stamp, err := c.readStatus(ctx, after, seen, wait)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if !c.following {
 			cancel()
 		}
-		return p, err
+		return stamp, err
 	}
 	statusWait := time.Duration(statusWaitPart * proofPart * float64(c.Within))
 	f := &feed.Feed{Name: feedName, Wait: statusWait, Read: read, Events: c.Events, MinInterval: interval}
@@ -45,11 +45,11 @@
 }
 
 // readStatus reads the status table or its changes.
-func (c *Controller) readStatus(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+func (c *Controller) readStatus(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 	sent := time.Now()
 	u, err := c.Store.Rows(ctx, c.Rows.Table(), after, wait)
-	if err := feed.CheckVersion(u.Position, seen, err); err != nil {
-		return u.Position, err
+	if err := feed.CheckAnswer(u.Stamp, after, seen, err); err != nil {
+		return u.Stamp, err
 	}
 	now := time.Now()
 	c.mu.Lock()
@@ -69,15 +69,15 @@
 		if u.Complete || changed {
 			s.applyStatus(now, status, c.storeStart)
 		}
-		s.proveStatus(sent, u.Version)
+		s.proveStatus(sent, u.Position)
 	}
 	c.look(now)
-	return u.Position, nil
+	return u.Stamp, nil
 }
 
-// proveStatus records that the status table as of a version of the store was read by a
+// proveStatus records that the status table as of a position of the store was read by a
 // call made at a time.
-func (s *service) proveStatus(sent time.Time, version uint64) {
+func (s *service) proveStatus(sent time.Time, at galenalatch.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.order
@@ -87,7 +87,7 @@
 	if !o.current(sent) {
 		o.currentSince = sent
 	}
-	o.statusRead = o.statusRead || version >= o.Version
+	o.statusRead = o.statusRead || !at.Before(o.position)
 	o.statusProof = sent
 }
 
--- a/internal/fleet/view/fleet_test.go
+++ b/internal/fleet/view/fleet_test.go
@@ -73,7 +73,7 @@
 }
 
 // Operators implements galenalatch.Store.
-func (l *storeLink) Operators(ctx context.Context, after uint64, wait time.Duration) (galenalatch.OperatorUpdate, error) {
+func (l *storeLink) Operators(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.OperatorUpdate, error) {
 	if err := l.check(ctx); err != nil {
 		return galenalatch.OperatorUpdate{}, err
 	}
@@ -85,7 +85,7 @@
 }
 
 // Servers implements galenalatch.Store.
-func (l *storeLink) Servers(ctx context.Context, after uint64, wait time.Duration) (galenalatch.ServerUpdate, error) {
+func (l *storeLink) Servers(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.ServerUpdate, error) {
 	if err := l.check(ctx); err != nil {
 		return galenalatch.ServerUpdate{}, err
 	}
@@ -139,6 +139,9 @@
 	// 2 is none.
 	HeardRelay int
 	Fault      store.Fault
+	// CopyAge is the age of the copy from which the store comes back, at most
+	// maxCopyAge.
+	CopyAge time.Duration
 }
 
 // fleet is a set of routers with one store. It checks each request against the
@@ -150,6 +153,7 @@
 	outSince          map[galenalatch.DataCentre]time.Time
 	dataCentreChanged map[galenalatch.DataCentre]time.Time
 	faultyUntil       time.Time
+	restoration       restoration
 	violation         string
 	running           sync.WaitGroup
 }
@@ -165,6 +169,7 @@
 		}})
 		f.publish(f.servers[i], 0)
 	}
+	f.restoration.backups = []store.Copy{f.store.Backup()}
 	var ids []galenalatch.RouterID
 	for i := range routers {
 		ids = append(ids, galenalatch.RouterID(fmt.Sprint("r", i)))
@@ -222,6 +227,10 @@
 }
 
 func (f *fleet) do(a action) {
+	if f.restoration.away() {
+		// Nobody can write.
+		return
+	}
 	now := time.Now()
 	r, p := f.routers[a.Router%len(f.routers)], f.servers[a.Server%len(f.servers)]
 	d := p.registration.DataCentre
@@ -249,7 +258,7 @@
 			f.store.SetOutOfService(d, true)
 		}
 	case "in":
-		if !f.outSince[d].IsZero() {
+		if !f.outSince[d].IsZero() && !f.restoration.pending() {
 			f.returnToService(now, d)
 		}
 	case "cut":
@@ -258,6 +267,8 @@
 	case "store":
 		f.store.SetFault(a.Fault)
 		f.faultyUntil = now.Add(a.Length)
+	case "restore":
+		f.beginRestoration(now, a)
 	case "mute":
 		for i := range 2 {
 			if a.HeardRelay != i {
@@ -280,6 +291,7 @@
 // to each server.
 func (f *fleet) step() {
 	now := time.Now()
+	f.advanceRestoration(now)
 	if !f.faultyUntil.IsZero() && !now.Before(f.faultyUntil) {
 		f.store.SetFault(store.NoFault)
 	}
@@ -342,6 +354,9 @@
 	k.wasUsable = k.wasUsable || usable
 	r.observations[id] = k
 	sound := latest(r.faultyUntil, f.faultyUntil).Add(recoveryBound)
+	if !p.present {
+		sound = latest(sound, f.restoration.removalsKnown())
+	}
 	if !arrives || now.Before(sound) {
 		return
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -1,9 +1,11 @@
 // Package view maintains a router's copy of what operators and backend servers
 // have published in the store.
 //
-// The copy follows the store's change feeds. An update with an older version is
+// The copy follows the store's change feeds. An update with an older position is
 // ignored. While the store cannot be reached the copy stays as it is, and Age
-// returns the age of the newest proof that it is current.
+// returns the age of the newest proof that it is current. When the store comes back
+// from an older copy of its own, the tables are read again; what the router has acted
+// on is not undone only because the store has lost it, see docs/design/store-eras.md.
 package view
 
 import (
@@ -16,8 +18,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenalatch/galenalatch"
+	"github.com/galenalatch/galenalatch/internal/decide/outofservice"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/proof"
+	"github.com/galenalatch/galenalatch/internal/decide/serverlist"
 	"github.com/galenalatch/galenalatch/internal/fleet/feed"
 	"github.com/galenalatch/galenalatch/internal/fleet/rollout"
 )
@@ -39,10 +43,9 @@
 	// reregistrationTime is how long after an outage the entries of live
 	// servers may still be missing.
 	reregistrationTime = 2200 * time.Millisecond
-	// removalDelay is how much longer a server whose entry is missing stays in
-	// use during reregistrationTime. It is shorter than the time within which a
-	// leaving server must get no new requests.
-	removalDelay = 1700 * time.Millisecond
+	// reappearTime is the time after an outage by which the router has read the
+	// entries of the servers that registered again.
+	reappearTime = reregistrationTime + 300*time.Millisecond
 )
 
 // Options configure a View.
@@ -85,9 +88,14 @@
 	Options
 	configuration atomic.Pointer[galenalatch.Configuration]
 
-	mu           sync.Mutex
+	// servers is used by the servers' feed alone.
+	servers serverlist.List
+
+	mu sync.Mutex
+	// tracker holds the proofs of the era provenEra.
 	tracker      proof.Tracker
-	outOfService map[galenalatch.DataCentre]bool
+	provenEra    uint64
+	outOfService outofservice.Set
 	// shortCall is set when the last call was made without a wait to compare
 	// the clocks.
 	shortCall bool
@@ -102,7 +110,7 @@
 
 // New returns a view without a configuration.
 func New(o Options) *View {
-	return &View{Options: o, outOfService: make(map[galenalatch.DataCentre]bool)}
+	return &View{Options: o}
 }
 
 // Configuration returns the newest configuration, or nil before the first one
@@ -142,15 +150,15 @@
 	return g.Wait()
 }
 
-func (v *View) readOperators(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+func (v *View) readOperators(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 	sent := v.Clock()
 	if v.nextCallShort() {
 		wait = 0
 	}
 	u, err := v.Store.Operators(ctx, after, wait)
 	received := v.Clock()
-	if err := feed.CheckVersion(u.Position, seen, err); err != nil {
-		return u.Position, err
+	if err := feed.CheckAnswer(u.Stamp, after, seen, err); err != nil {
+		return u.Stamp, err
 	}
 	for _, e := range u.Invalid {
 		v.Events.Invalid("operators", e)
@@ -161,16 +169,26 @@
 	v.applyOutOfService(u)
 	v.Rollouts.Operators(time.Now(), u)
 	if len(u.Invalid) > 0 && v.Configuration() == nil {
-		return u.Position, errors.Join(u.Invalid...)
+		return u.Stamp, errors.Join(u.Invalid...)
 	}
+	v.prove(sent, received, u.Stamp)
+	return u.Stamp, nil
+}
+
+// prove records an answer of the operators' feed to a call between the times sent and
+// received. The clock of an earlier era tells nothing of that of a later one.
+func (v *View) prove(sent, received time.Duration, s galenalatch.Stamp) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if u.Relayed {
-		v.tracker.Relayed(received, u.Clock)
-	} else {
-		v.tracker.Observe(sent, received, u.Clock)
+	if s.Era != v.provenEra {
+		v.tracker.Restart()
+		v.provenEra = s.Era
 	}
-	return u.Position, nil
+	if s.Relayed {
+		v.tracker.Relayed(received, s.Clock)
+		return
+	}
+	v.tracker.Observe(sent, received, s.Clock)
 }
 
 // nextCallShort reports whether the next call should be made without a wait,
@@ -194,87 +212,67 @@
 	v.Events.ConfigurationApplied(c, p)
 }
 
-// applyOutOfService applies the operators' list of data centres. A complete
-// update holds all that are out of service.
+// applyOutOfService applies the operators' list of data centres.
 func (v *View) applyOutOfService(u galenalatch.OperatorUpdate) {
-	next := make(map[galenalatch.DataCentre]bool)
+	now := time.Now()
 	v.mu.Lock()
-	if !u.Complete {
-		for d := range v.outOfService {
-			next[d] = true
-		}
-	}
-	for _, d := range u.BackInService {
-		delete(next, d)
-	}
-	for _, d := range u.OutOfService {
-		next[d] = true
-	}
-	old := v.outOfService
-	v.outOfService = next
+	out, back := v.outOfService.Apply(now, u)
 	v.mu.Unlock()
-	now := time.Now()
-	for d := range next {
-		if !old[d] {
-			v.Table.SetOutOfService(now, d, true)
-			v.Events.OutOfService(d, true, u.Position)
-		}
+	for _, d := range out {
+		v.Table.SetOutOfService(now, d, true)
+		v.Events.OutOfService(d, true, u.Position)
 	}
-	for d := range old {
-		if !next[d] {
-			v.Table.SetOutOfService(now, d, false)
-			v.Events.OutOfService(d, false, u.Position)
-		}
+	for _, d := range back {
+		v.Table.SetOutOfService(now, d, false)
+		v.Events.OutOfService(d, false, u.Position)
 	}
 }
 
-func (v *View) readServers(ctx context.Context, after, seen uint64, wait time.Duration) (galenalatch.Position, error) {
+func (v *View) readServers(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 	u, err := v.Store.Servers(ctx, after, wait)
-	err = feed.CheckVersion(u.Position, seen, err)
+	err = feed.CheckAnswer(u.Stamp, after, seen, err)
 	v.serversFailed.Store(err != nil)
 	if err != nil {
-		return u.Position, err
+		return u.Stamp, err
 	}
 	for _, e := range u.Invalid {
 		v.Events.Invalid("servers", e)
 	}
 	now := time.Now()
-	at := v.removalTime(now)
 	v.Rollouts.Servers(now, u)
-	present := make(map[galenalatch.ServerID]bool, len(u.Registered))
-	for _, r := range u.Registered {
-		present[r.ID] = true
+	change := v.servers.Apply(now, u)
+	for _, r := range change.Listed {
 		v.Table.Put(now, r)
 		v.Events.Server(r, u.Position)
 	}
-	removed := u.Removed
-	if u.Complete {
-		for _, id := range v.Table.IDs() {
-			if !present[id] {
-				removed = append(removed, id)
-			}
-		}
-	}
-	for _, id := range removed {
+	at := v.removalTime(now, u.EraAge, change.Restored)
+	for _, id := range change.Removed {
 		v.Table.Remove(id, at)
 		v.Events.ServerRemoved(id, u.Position)
 	}
 	v.listed.Store(true)
-	return u.Position, nil
+	return u.Stamp, nil
 }
 
 // removalTime returns when a server whose entry is missing in an answer is to
-// be removed. Entries expire while the store cannot be reached, and live
-// servers register again soon after.
-func (v *View) removalTime(now time.Time) time.Time {
+// be removed. Entries expire while the store cannot be reached, a copy from which the
+// store was restored may lack them, and live servers register again soon after.
+func (v *View) removalTime(now time.Time, eraAge time.Duration, restored bool) time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.lastAnswer.IsZero() && now.Sub(v.lastAnswer) > minExpiryOutage {
+	switch {
+	case restored:
+		v.outageEnd = now.Add(-eraAge)
+	case !v.lastAnswer.IsZero() && now.Sub(v.lastAnswer) > minExpiryOutage:
 		v.outageEnd = now
 	}
 	v.lastAnswer = now
-	if now.Sub(v.outageEnd) < reregistrationTime {
-		return now.Add(removalDelay)
+	if now.Sub(v.outageEnd) >= reregistrationTime {
+		return now
+	}
+	at, latest := now.Add(serverlist.ReturnTime), v.outageEnd.Add(reappearTime)
+	if latest.Before(at) {
+		return latest
 	}
-	return now
+	return at
 }
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -32,6 +32,9 @@
 	q.add("lost " + feed)
 }
 func (q *eventRecorder) StoreReachable(feed string, _ time.Duration) { q.add("regained " + feed) }
+func (q *eventRecorder) StoreRestored(feed string, _, _ galenalatch.Position) {
+	q.add("restored " + feed)
+}
 func (q *eventRecorder) ConfigurationApplied(*galenalatch.Configuration, galenalatch.Position) {
 	q.add("applied")
 }
@@ -212,7 +215,7 @@
 type invalidStore struct{ *store.Store }
 
 // Operators implements galenalatch.Store.
-func (s invalidStore) Operators(ctx context.Context, after uint64, wait time.Duration) (galenalatch.OperatorUpdate, error) {
+func (s invalidStore) Operators(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.OperatorUpdate, error) {
 	u, err := s.Store.Operators(ctx, after, wait)
 	u.Invalid = append(u.Invalid, errors.New("configuration: not an object"))
 	return u, err
@@ -227,12 +230,12 @@
 	v := New(Options{
 		Store: invalidStore{store}, Table: placement.New(placement.Options{}), Clock: func() time.Duration { return 0 }, Events: events,
 	})
-	_, err := v.readOperators(t.Context(), galenalatch.ReadAll, 0, 0)
+	_, err := v.readOperators(t.Context(), galenalatch.ReadAll, galenalatch.Position{}, 0)
 	assert.ErrorContains(t, err, "not an object")
 	assert.Assert(t, v.Configuration() == nil)
 	for range 2 {
 		store.Configure(&galenalatch.Configuration{Version: 5})
-		_, err = v.readOperators(t.Context(), galenalatch.ReadAll, 0, 0)
+		_, err = v.readOperators(t.Context(), galenalatch.ReadAll, galenalatch.Position{}, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, v.Configuration().Version, uint64(5))
 	}
@@ -245,7 +248,7 @@
 	v := New(Options{
 		Store: store.New(), Table: placement.New(placement.Options{}), Clock: func() time.Duration { return 0 }, Events: &eventRecorder{},
 	})
-	_, err := v.readOperators(t.Context(), galenalatch.ReadAll, 0, 0)
+	_, err := v.readOperators(t.Context(), galenalatch.ReadAll, galenalatch.Position{}, 0)
 	assert.NilError(t, err)
 	_, ok := v.Age()
 	assert.Assert(t, ok)
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -34,7 +34,7 @@
 }
 
 // Servers implements galenalatch.Store.
-func (l delayedServerList) Servers(ctx context.Context, after uint64, wait time.Duration) (galenalatch.ServerUpdate, error) {
+func (l delayedServerList) Servers(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.ServerUpdate, error) {
 	select {
 	case <-ctx.Done():
 		return galenalatch.ServerUpdate{}, context.Cause(ctx)
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -29,6 +29,11 @@
 	o.log.Event(events.StoreReachable, "feed", feed, "after", after.Round(time.Millisecond))
 }
 
+// StoreRestored implements view.Events.
+func (o observer) StoreRestored(feed string, before, now galenalatch.Position) {
+	o.log.Event(events.StoreRestored, "feed", feed, "era", before.Era, "store", before.Version, "newEra", now.Era, "newStore", now.Version)
+}
+
 // Applied implements view.Events.
 func (o observer) ConfigurationApplied(c *galenalatch.Configuration, p galenalatch.Position) {
 	o.log.Event(events.ConfigurationApplied, "configuration", c.Version, "store", p.Version, "routes", len(c.Routes), "keys", len(c.Keys))
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -66,12 +66,22 @@
 	return "row " + c.row.Key
 }
 
-// Store implements galenalatch.Store in memory.
-type Store struct {
-	mu      sync.Mutex
-	start   time.Time
+// content is what a store holds.
+type content struct {
 	version uint64
 	history []change
+}
+
+// Copy is what a store held at a time.
+type Copy struct{ content }
+
+// Store implements galenalatch.Store in memory.
+type Store struct {
+	mu    sync.Mutex
+	start time.Time
+	// era is the number of times that the store has come back from a copy.
+	era uint64
+	content
 	changed chan struct{}
 	fault   Fault
 	calls   int
@@ -109,10 +119,32 @@
 	s.version++
 	c.version = s.version
 	s.history = append(s.history, c)
+	s.notify()
+}
+
+// notify wakes the waiting reads. The caller must hold s.mu.
+func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// Backup returns a copy of what the store holds.
+func (s *Store) Backup() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{content{version: s.version, history: slices.Clone(s.history)}}
+}
+
+// Restore makes the store come back from a copy, in its next era. What it has received
+// since the copy is lost. Waiting reads return an error.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.content = content{version: c.version, history: slices.Clone(c.history)}
+	s.notify()
+}
+
 // Configure publishes a configuration in place of an operator.
 func (s *Store) Configure(c *galenalatch.Configuration) {
 	s.add(change{feed: "operators", configuration: c})
@@ -144,18 +176,22 @@
 // read returns the latest change of each key after a version, ordered by version.
 // If there is none, it waits for one, at most for the duration wait. A read of
 // everything does not wait.
-func (s *Store) read(ctx context.Context, feed string, after uint64, wait time.Duration) ([]change, galenalatch.Position, error) {
+func (s *Store) read(ctx context.Context, feed string, after galenalatch.Position, wait time.Duration) ([]change, galenalatch.Stamp, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	s.mu.Lock()
 	s.calls++
+	era := s.era
 	s.mu.Unlock()
 	for {
 		if s.isHanging() {
 			<-ctx.Done()
-			return nil, galenalatch.Position{}, ctx.Err()
+			return nil, galenalatch.Stamp{}, ctx.Err()
 		}
 		changes, p, changed, err := s.latestChanges(feed, after)
+		if p.Era != era {
+			return nil, p, errStoreDown
+		}
 		if err != nil || after == galenalatch.ReadAll || len(changes) > 0 {
 			return changes, p, err
 		}
@@ -183,10 +219,10 @@
 // latestChanges returns the latest change of each key after a version, ordered
 // by version, without waiting. A read of everything leaves out removed items.
 // The channel is closed at the next change.
-func (s *Store) latestChanges(feed string, after uint64) ([]change, galenalatch.Position, <-chan struct{}, error) {
+func (s *Store) latestChanges(feed string, after galenalatch.Position) ([]change, galenalatch.Stamp, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := galenalatch.Position{Version: s.version, Clock: time.Since(s.start)}
+	p := galenalatch.Stamp{Position: galenalatch.Position{Era: s.era, Version: s.version}, Clock: time.Since(s.start)}
 	switch s.fault {
 	case RefuseCalls:
 		return nil, p, nil, errStoreDown
@@ -196,9 +232,12 @@
 			return nil, p, nil, galenalatch.ErrHistoryGone
 		}
 	}
+	if after != galenalatch.ReadAll && after.Version > s.version {
+		return nil, p, nil, galenalatch.ErrHistoryGone
+	}
 	latest := make(map[string]change)
 	for _, c := range s.history {
-		if c.feed == feed && (after == galenalatch.ReadAll || c.version > after) {
+		if c.feed == feed && (after == galenalatch.ReadAll || c.version > after.Version) {
 			latest[c.key()] = c
 		}
 	}
@@ -214,9 +253,9 @@
 }
 
 // Operators implements galenalatch.Store.
-func (s *Store) Operators(ctx context.Context, after uint64, wait time.Duration) (galenalatch.OperatorUpdate, error) {
+func (s *Store) Operators(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.OperatorUpdate, error) {
 	changes, p, err := s.read(ctx, "operators", after, wait)
-	u := galenalatch.OperatorUpdate{Position: p, Complete: after == galenalatch.ReadAll}
+	u := galenalatch.OperatorUpdate{Stamp: p, Complete: after == galenalatch.ReadAll}
 	for _, c := range changes {
 		switch {
 		case c.configuration != nil:
@@ -235,9 +274,9 @@
 }
 
 // Servers implements galenalatch.Store.
-func (s *Store) Servers(ctx context.Context, after uint64, wait time.Duration) (galenalatch.ServerUpdate, error) {
+func (s *Store) Servers(ctx context.Context, after galenalatch.Position, wait time.Duration) (galenalatch.ServerUpdate, error) {
 	changes, p, err := s.read(ctx, "servers", after, wait)
-	u := galenalatch.ServerUpdate{Position: p, Complete: after == galenalatch.ReadAll}
+	u := galenalatch.ServerUpdate{Stamp: p, Complete: after == galenalatch.ReadAll}
 	for _, c := range changes {
 		if c.registration != nil {
 			u.Registered = append(u.Registered, *c.registration)
@@ -249,9 +288,9 @@
 }
 
 // Rows implements galenalatch.Store.
-func (s *Store) Rows(ctx context.Context, table string, after uint64, wait time.Duration) (galenalatch.RowUpdate, error) {
+func (s *Store) Rows(ctx context.Context, table string, after galenalatch.Position, wait time.Duration) (galenalatch.RowUpdate, error) {
 	changes, p, err := s.read(ctx, "table "+table, after, wait)
-	u := galenalatch.RowUpdate{Position: p, Complete: after == galenalatch.ReadAll}
+	u := galenalatch.RowUpdate{Stamp: p, Complete: after == galenalatch.ReadAll}
 	for _, c := range changes {
 		r := c.row
 		r.Version = c.version
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -82,6 +82,7 @@
 	RolloutChanged         Number = 8111
 	RolloutStopped         Number = 8112
 	RolloutWritten         Number = 8113
+	StoreRestored          Number = 8114
 	SettingsReloaded       Number = 8201
 	ProcessStatus          Number = 8202
 	EngineSpeed            Number = 8203
@@ -264,6 +265,9 @@
 		"A call of the store for a feed failed after the time `took`. The router continues with its copy; requests with keys are refused once the configuration was not confirmed for too long.",
 		"Check the store when many routers log this at the same time, otherwise the network of the instance."},
 	StoreReachable: {log.InfoLevel, "store reachable again", "The calls of the store for a feed succeed again; `after` is the length of the outage.", none},
+	StoreRestored: {log.WarnLevel, "store restored",
+		"The store has come back from an older copy and lost what it had acknowledged since. The router has read the table of a feed again. `era` and `store` are the position that it knew before, `newEra` and `newStore` that of the table.",
+		"See \"The store came back from a copy\" in `OPERATIONS.md`."},
 	MembersChanged: {log.InfoLevel, "routers changed",
 		"The list of routers in the store has changed.", none},
 	RolloutOrdered: {log.InfoLevel, "roll-out ordered",
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -164,7 +164,8 @@
 	// Feed is "operators", "servers" or the name of one of the system's own
 	// tables.
 	Feed string `cbor:"feed"`
-	// After and Version are versions of the store.
+	// Era is the era of After and Version, which are versions of the store.
+	Era     uint64 `cbor:"era,omitempty"`
 	After   uint64 `cbor:"after"`
 	Version uint64 `cbor:"version"`
 	// Clock is the store's monotonic clock at the time of the answer.
@@ -183,10 +184,12 @@
 	Rows []StoreRow `cbor:"rows,omitempty"`
 }
 
-// Position returns the position in the store's history that the answer shows.
-// It is marked as relayed.
-func (a StoreAnswer) Position() Position {
-	return Position{Version: a.Version, Clock: a.Clock, Relayed: true}
+// Start returns the position after which the answer holds the changes.
+func (a StoreAnswer) Start() Position { return Position{Era: a.Era, Version: a.After} }
+
+// Stamp returns the stamp of the answer. It is marked as relayed.
+func (a StoreAnswer) Stamp() Stamp {
+	return Stamp{Position: Position{Era: a.Era, Version: a.Version}, Clock: a.Clock, Relayed: true}
 }
 
 // MessageType implements Message.
--- a/registration.go
+++ b/registration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"time"
 )
 
@@ -30,20 +29,9 @@
 	Started int64 `cbor:"started"`
 }
 
-// Position is the point in the store's history that an update reflects.
-type Position struct {
-	// Version is the number of transactions of the store.
-	Version uint64
-	// Clock is the store's monotonic clock at the time of the answer.
-	Clock time.Duration
-	// Relayed is set when another router forwarded the answer. The store may
-	// have produced such an answer before the call began.
-	Relayed bool
-}
-
 // OperatorUpdate is the content of the operators' table or a change of it.
 type OperatorUpdate struct {
-	Position
+	Stamp
 	// Complete is set when the update holds the whole table, and not only
 	// what has changed.
 	Complete bool
@@ -61,13 +49,16 @@
 
 // ServerUpdate is the content of the backend servers' table or a change of it.
 type ServerUpdate struct {
-	Position
+	Stamp
 	// Complete is set when the update holds the whole table, and not only
 	// what has changed.
 	Complete   bool
 	Registered []Registration
 	// Removed are the servers whose entries were removed or cannot be decoded.
 	Removed []ServerID
+	// EraAge is the time for which the router has known of the era of the update, by
+	// any router; 0 for an update that tells it first.
+	EraAge time.Duration
 	// Invalid has an error for each row that cannot be decoded.
 	Invalid []error
 }
@@ -85,37 +76,31 @@
 
 // RowUpdate is the content of one of the system's own tables or a change of it.
 type RowUpdate struct {
-	Position
+	Stamp
 	// Complete is set when the update holds the whole table, and not only
 	// what has changed.
 	Complete bool
 	Rows     []StoreRow
 }
 
-// ErrHistoryGone is returned by a read of the changes after a version for which
-// the store no longer has them. The caller has to read the whole table again.
-var ErrHistoryGone = errors.New("the store no longer has the changes after this version")
-
 // ErrWriteConflict is returned by Store.Write when the row has another version
 // than the one that the write requires.
 var ErrWriteConflict = errors.New("the row has another version")
 
-// ReadAll stands for a version in reads: it requests all rows of a table in
-// place of the changes after a version.
-const ReadAll uint64 = math.MaxUint64
-
 // Store is the platform's store. It holds the tables that operators and backend
 // servers write, and the system's own tables.
 //
 // A read with after set to ReadAll returns at once. Other reads return when
-// there is a change after this version, or without a change when wait is over.
+// there is a change after this position, or without a change when wait is over.
+// Their error is ErrHistoryGone when the store does not have these changes. An
+// answer may be of a later era than after; see Stamp.CheckRead.
 type Store interface {
 	// Operators reads the operators' table.
-	Operators(ctx context.Context, after uint64, wait time.Duration) (OperatorUpdate, error)
+	Operators(ctx context.Context, after Position, wait time.Duration) (OperatorUpdate, error)
 	// Servers reads the backend servers' table.
-	Servers(ctx context.Context, after uint64, wait time.Duration) (ServerUpdate, error)
+	Servers(ctx context.Context, after Position, wait time.Duration) (ServerUpdate, error)
 	// Rows reads one of the system's own tables.
-	Rows(ctx context.Context, table string, after uint64, wait time.Duration) (RowUpdate, error)
+	Rows(ctx context.Context, table string, after Position, wait time.Duration) (RowUpdate, error)
 	// Write writes the row, or removes it if row.Deleted is set, provided that
 	// its stored version is row.Version. After an error other than
 	// ErrWriteConflict the write may have happened or may still happen.
