Views: one driver for random histories; drop an unused listing

TestDrainAndEvacuation and TestRestoredStoreInFleet draw their fleets by the same function. placement.Table.IDs has no caller since the list of servers is kept by decide/serverlist. No change of behaviour.

--- a/internal/decide/placement/table.go
+++ b/internal/decide/placement/table.go
@@ -186,19 +186,6 @@
 	t.services[s.Service] = slices.DeleteFunc(t.services[s.Service], func(o *server) bool { return o == s })
 }
 
-// IDs returns the ids of all servers without a scheduled removal, in no order.
-func (t *Table) IDs() []galenalatch.ServerID {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	ids := make([]galenalatch.ServerID, 0, len(t.servers))
-	for id, s := range t.servers {
-		if s.removeAt.IsZero() {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // hash returns the rendezvous weight of a server for a key.
 func hash(key uint64, s *server) uint64 {
 	x := key ^ s.seed
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -138,9 +138,9 @@
 // backOff waits before the next call. The pause is random, so that routers that
 // lose the store together call again at different times. The time that the
 // failed call took counts towards it: a router whose call got no answer calls
-// again at once. When the store no longer has the changes after the last
-// version, the whole table is read next and the store does not count as
-// unreachable.
+// again at once. When the store does not have the changes after the last
+// position, the whole table is read next and the store does not count as
+// unreachable; routers that listen to others do so at different times.
 func (f *Feed) backOff(ctx context.Context, err error, took time.Duration) {
 	if errors.Is(err, galenalatch.ErrHistoryGone) {
 		f.after = galenalatch.ReadAll
--- a/internal/fleet/view/fleet_test.go
+++ b/internal/fleet/view/fleet_test.go
@@ -420,10 +420,16 @@
 // all routers, and against servers that stay unused. The histories have faults
 // of the store, of the links to it and between the routers.
 func TestDrainAndEvacuation(t *testing.T) {
+	checkHistories(t, drawAction)
+}
+
+// checkHistories runs histories of drawn actions.
+func checkHistories(t *testing.T, draw func(r *rapid.T) action) {
+	t.Helper()
 	rapid.Check(t, func(r *rapid.T) {
 		routers := rapid.IntRange(2, 6).Draw(r, "routers")
 		servers := rapid.IntRange(1, 5).Draw(r, "servers")
-		history := rapid.SliceOfN(rapid.Custom(drawAction), 1, 8).Draw(r, "history")
+		history := rapid.SliceOfN(rapid.Custom(draw), 1, 8).Draw(r, "history")
 		if violation := runHistory(t, routers, servers, history); violation != "" {
 			r.Fatal(violation)
 		}
--- a/internal/fleet/view/restored_fleet_test.go
+++ b/internal/fleet/view/restored_fleet_test.go
@@ -124,14 +124,7 @@
 // only because a copy does not have that change, must learn what was written again, and
 // must not lose the servers that a copy lacks.
 func TestRestoredStoreInFleet(t *testing.T) {
-	rapid.Check(t, func(r *rapid.T) {
-		routers := rapid.IntRange(2, 6).Draw(r, "routers")
-		servers := rapid.IntRange(1, 5).Draw(r, "servers")
-		history := rapid.SliceOfN(rapid.Custom(drawRestoredAction), 1, 8).Draw(r, "history")
-		if violation := runHistory(t, routers, servers, history); violation != "" {
-			r.Fatal(violation)
-		}
-	})
+	checkHistories(t, drawRestoredAction)
 }
 
 func drawRestoredAction(r *rapid.T) action {
--- a/registration.go
+++ b/registration.go
@@ -56,8 +56,8 @@
 	Registered []Registration
 	// Removed are the servers whose entries were removed or cannot be decoded.
 	Removed []ServerID
-	// EraAge is the time for which the router has known of the era of the update, by
-	// any router; 0 for an update that tells it first.
+	// EraAge is for how long the router has known that the store is in the era of the
+	// update; 0 if the update is the first to tell.
 	EraAge time.Duration
 	// Invalid has an error for each row that cannot be decoded.
 	Invalid []error
