--- a/internal/fleet/view/restored_test.go
+++ b/internal/fleet/view/restored_test.go
@@ -13,8 +13,8 @@
 // moment is how long the store is away before it comes back from a copy.
 const moment = time.Second
 
-// restored is a configuration without the key k1, which the one of runView has.
-func restored() *galenalatch.Configuration {
+// newerConfiguration returns a configuration that replaces the one of runView.
+func newerConfiguration() *galenalatch.Configuration {
 	return &galenalatch.Configuration{Version: 6, Services: map[string]galenalatch.Service{"x": {Name: "x"}}}
 }
 
@@ -58,7 +58,7 @@
 					w.store.SetFault(store.RefuseCalls)
 					time.Sleep(tt.away)
 					w.store.Restore(copied)
-					w.store.Configure(restored())
+					w.store.Configure(newerConfiguration())
 					w.store.SetOutOfService("b", true)
 					w.store.Register(leavingEntry("s3", 1))
 					write(tt.again)
@@ -104,7 +104,7 @@
 
 // change is what the operators write, and write again.
 func (d *drill) change() {
-	d.store.Configure(restored())
+	d.store.Configure(newerConfiguration())
 	d.store.SetOutOfService("b", true)
 }
 
