Server list: the random test notices removals that are told twice

TestWithoutLoss says that it guards against removals that are reported twice, and did not: it compared the lists only, so that a list which repeats each removal passed. It now fails for an id that is removed again within the memory of the list, or twice in an update. The check of the lists is unchanged.

No change of behaviour.

--- a/internal/decide/serverlist/list_test.go
+++ b/internal/decide/serverlist/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,8 @@
 		var l List
 		table := make(map[galenalatch.ServerID]galenalatch.Registration)
 		got := make(map[galenalatch.ServerID]galenalatch.Registration)
+		// removedAt are the times at which listed servers were removed.
+		removedAt := make(map[galenalatch.ServerID]time.Time)
 		now := time.Now()
 		for range rapid.IntRange(1, 30).Draw(r, "updates") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(r, "pause")) * time.Millisecond)
@@ -175,8 +178,15 @@
 			c := l.Apply(now, u)
 			for _, x := range c.Listed {
 				got[x.ID] = x
+				delete(removedAt, x.ID)
 			}
-			for _, id := range c.Removed {
+			for i, id := range c.Removed {
+				if at, ok := removedAt[id]; ok && now.Sub(at) <= memory || slices.Contains(c.Removed[:i], id) {
+					r.Fatalf("%s is removed twice", id)
+				}
+				if _, ok := got[id]; ok {
+					removedAt[id] = now
+				}
 				delete(got, id)
 			}
 			if fmt.Sprint(got) != fmt.Sprint(table) || c.Restored {
