Rejected requests are counted by workspace

Callers of a workspace at one or two routers without processor time got far less than its share while others were served. Whether such a router rejects the requests before it reads them, refuses them by its shares, or does not come to them, could not be told from its log: 8202 has the number of rejected connections every 5 s, and not whose requests they were; and most lines on single requests are lost while processor time lacks.

A rejected request is identified by its first bytes, which the router reads anyway before it answers: its workspace by its key, its tokens by its headers. Event 8205 has a line for each second with rejections: the connections, the workspaces with most tokens, what these requested and started at this router in the window of the shares, and how many are not known. No decision uses it.

--- a/internal/caller/host/accept.go
+++ b/internal/caller/host/accept.go
@@ -47,7 +47,7 @@
 	t.h.withBudget(t.decision.Service, func(b *budget.Budget) bool { b.CountRequest(t.arrival); return true })
 	t.timeLimit = timeLimit(t.call.Deadline, t.route.Timeout)
 	if t.route.Kind == galenalatch.StreamWork {
-		t.decision.Tokens = float64(t.call.PromptTokens) + 2*float64(t.call.MaxOutputTokens)
+		t.decision.Tokens = tokenCost(t.call)
 		t.h.Ledger.Add(t.arrival, t.decision.Workspace, share.Usage{Requested: t.decision.Tokens})
 	}
 	return t.readBody()
--- a/internal/caller/ingress/rejection.go
+++ b/internal/caller/ingress/rejection.go
@@ -33,6 +33,8 @@
 	response []byte
 	max      int64
 	open     atomic.Int64
+	// observe, if set, is called with the first bytes of each request.
+	observe func(first []byte)
 }
 
 // newRejecter returns a rejecter that answers with 503 and the given header, up to
@@ -71,6 +73,9 @@
 	buffer := firstReadBuffers.Get().(*[firstReadSize]byte)
 	n, err := c.Read(buffer[:])
 	complete := isComplete(buffer[:n])
+	if r.observe != nil && n > 0 {
+		r.observe(buffer[:n])
+	}
 	firstReadBuffers.Put(buffer)
 	if err != nil {
 		return
--- a/internal/caller/ingress/server.go
+++ b/internal/caller/ingress/server.go
@@ -61,6 +61,9 @@
 	Admit func() bool
 	// RejectionHeader is the header of these answers.
 	RejectionHeader http.Header
+	// Rejected, if set, is called with the first bytes of each request that is rejected
+	// so. It must not keep them.
+	Rejected func(first []byte)
 	// AcceptFailed, if set, is called with the errors of failed accepts and of an
 	// http.Server that stopped.
 	AcceptFailed func(err error)
@@ -90,6 +93,7 @@
 // unless Shutdown has been called.
 func (s *Server) Serve(l net.Listener) error {
 	s.rejecter = newRejecter(s.RejectionHeader, s.MaxRejected)
+	s.rejecter.observe = s.Rejected
 	s.SetLimits(galenalatch.CallerLimits{})
 	for {
 		c, err := l.Accept()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -109,7 +109,8 @@
 	// service. Only loop uses it.
 	loggedCalibrations map[string]calibration
 	// pressure is what was last logged of callers that gave way. Only loop uses it.
-	pressure pressure
+	pressure   pressure
+	rejections rejections
 	// forgetting tells by service whether engines keep fewer than half of the prompts
 	// that they should.
 	forgetting map[string]bool
@@ -182,6 +183,7 @@
 		MaxRejected:     maxRejected(s),
 		MaxConnections:  int(descriptorShare * float64(s.Descriptors)),
 		Admit:           g.overload.Admit,
+		Rejected:        g.identifyRejected,
 		RejectionHeader: host.RefusalHeader(platform.Headers{}),
 		AcceptFailed:    func(err error) { g.log.Event(events.ListenerFailed, "address", s.Listen.Caller, "error", err) },
 	}
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -87,6 +87,7 @@
 	ProcessStatus          Number = 8202
 	EngineSpeed            Number = 8203
 	KeptChanged            Number = 8204
+	RequestsRejected       Number = 8205
 )
 
 // event is the level and message of an event, with its meaning and the action to
@@ -289,6 +290,9 @@
 	EngineSpeed: {log.InfoLevel, "engine speed changed",
 		"The times to the first token show that the engines of a service read prompts in `factor` times the time that `readRate` in the settings implies, or that `first` is the time from the end of reading to the first token. Predictions use the new values.",
 		"When `factor` is far from 1 after each start, set `readRate` and `firstToken` to the values of the engines."},
+	RequestsRejected: {log.WarnLevel, "requests rejected",
+		"Requests of the last second were rejected unparsed, since the router lacks processor time or has too many callers: `connections` of them, in `workspaces` by NAME:REQUESTS:TOKENS for those with most tokens. Of `unknown` the workspace is not known, nor that of connections that were closed at once. `usage` has what these workspaces requested and started at this router in the last 4 s, as NAME:REQUESTED:STARTED. `callers` is the number of open connections.",
+		"When a workspace is named for long, its callers meet too few routers: look for 8202 and add instances in their data centre."},
 	KeptChanged: {log.InfoLevel, "kept prompts changed",
 		"First tokens show that the engines of a service keep fewer than half of the shared prompt parts for which they are the first home, or again more. `kept` is the part that they keep, `forgetful` the number of servers that keep fewer than half. Predictions stop counting on kept parts when fewer than a quarter of the first tokens confirm them.",
 		"When `kept` stays low, the memory of the engines is too small for their prompts, or smaller than configured. When `forgetful` is small, examine these servers."},
