--- a/internal/decide/admission/fairness_test.go
+++ b/internal/decide/admission/fairness_test.go
@@ -39,6 +39,9 @@
 	routers int
 	// prefill is the part of the predicted wait for a request itself.
 	prefill time.Duration
+	// read is the rate at which its router can read requests, if that is less: it rejects
+	// the others unread.
+	read float64
 	// surge is the factor by which rate grows after surgeAt, if set.
 	surge float64
 }
@@ -97,6 +100,7 @@
 		started[i] = make(map[galenalatch.WorkspaceName]float64)
 	}
 	due := make(map[galenalatch.WorkspaceName]float64)
+	readable := make(map[galenalatch.WorkspaceName]float64)
 	next := make(map[galenalatch.WorkspaceName]int)
 	begin := time.Unix(1000, 0)
 	for at := time.Duration(0); at < length; at += step {
@@ -112,9 +116,17 @@
 			if w.surge > 0 && at >= surgeAt {
 				rate *= w.surge
 			}
+			readable[w.name] = min(readable[w.name]+w.read*step.Seconds(), 4*requestSize)
 			for due[w.name] += rate * step.Seconds(); due[w.name] >= requestSize; due[w.name] -= requestSize {
 				next[w.name]++
-				if f.request(now, next[w.name]%w.routers, w, configured) {
+				router := next[w.name] % w.routers
+				if w.read > 0 {
+					if readable[w.name] < requestSize {
+						continue
+					}
+					readable[w.name] -= requestSize
+				}
+				if f.request(now, router, w, configured) {
 					started[at/time.Second][w.name] += requestSize
 				}
 			}
@@ -226,3 +238,41 @@
 		}
 	}
 }
+
+// Guards against a workspace whose callers meet a router that can read few of their requests,
+// and which gets less than half of what others get beyond their share of the configured
+// throughput.
+func TestWorkspaceAtSlowRouter(t *testing.T) {
+	const (
+		actual  = 1e6
+		own     = 60 * time.Millisecond
+		counted = 6
+	)
+	for _, read := range []float64{actual / 10, actual / 6} {
+		for _, configured := range []float64{actual / 8, actual / 4} {
+			for _, load := range []float64{0.3, 0.6, 1.2} {
+				t.Run(fmt.Sprintf("%.2f of the throughput read, %.2f configured, others ask for %.1f each", read/actual, configured/actual, load), func(t *testing.T) {
+					others := []galenalatch.WorkspaceName{"a", "b", "c"}
+					workspaces := []workspace{{name: "slow", rate: 1.3 * actual, routers: 1, prefill: own, read: read}}
+					for _, name := range others {
+						workspaces = append(workspaces, workspace{name: name, rate: load * actual, routers: fleetSize, prefill: own})
+					}
+					started := startedTokens(workspaces, configured, engines{rate: actual, spread: 0.5}, 200*time.Millisecond)
+					for i := 4; i+counted <= len(started); i++ {
+						got := make(map[galenalatch.WorkspaceName]float64)
+						for _, second := range started[i : i+counted] {
+							for w, n := range second {
+								got[w] += n
+							}
+						}
+						for _, name := range others {
+							if got["slow"]+3*requestSize < got[name]/2 {
+								t.Errorf("%.0f tokens were started, and %.0f of %s, from %d s", got["slow"], got[name], name, i)
+							}
+						}
+					}
+				})
+			}
+		}
+	}
+}
