Streams keep the version of the servers that began them

Cause: nothing tied a stream to a version. Within one answer a further server was chosen like the first one, and a caller's attempt to resume a stream was placed like a new one; the header that names the attempt which brought the first event was not read. The class: a choice that binds later ones was kept nowhere. The service of a route with several ones was chosen by each attempt's id in the same way; it follows that of the stream now.

The version that begins a stream follows from the id of its first attempt and a plan in the store, so that any router knows it, also after all routers were killed. Where a slot of the plan has moved and older streams may be left, the attempt is refused before anything is sent. Routers tell each other which slots have older streams; the plan records what is settled. A router reads the plan before it resumes a stream that it has not had.

The soak has servers of two versions and callers who resume streams.

--- a/cmd/galenalatch/soak_clients_test.go
+++ b/cmd/galenalatch/soak_clients_test.go
@@ -134,8 +134,9 @@
 func (c *soakClients) check(path, id, body string, h http.Header) {
 	want := ""
 	if path == "/stream/" {
+		_, version, _ := strings.Cut(strings.SplitN(body, "\n", 3)[min(1, strings.Count(body, "\n"))], "piece 1")
 		for i := 1; i <= soakEvents; i++ {
-			want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+			want += fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", i, i, version)
 		}
 	}
 	switch {
--- a/cmd/galenalatch/soak_faults_test.go
+++ b/cmd/galenalatch/soak_faults_test.go
@@ -97,12 +97,12 @@
 		} else {
 			assert.NilError(f.t, f.store.Server(f.registration(w, 0, true)))
 		}
-		return func() { f.startServer(w, time.Second) }
+		return func() { w.switchVersion(); f.startServer(w, time.Second) }
 	}},
 	{"server crash", func(f *soakFleet, random *rand.Rand) func() {
 		w := pick(random, f.backends)
 		w.proxy.setMode(resetting)
-		return func() { f.store.RemoveServer(w.server.ID); f.startServer(w, time.Second) }
+		return func() { f.store.RemoveServer(w.server.ID); w.switchVersion(); f.startServer(w, time.Second) }
 	}},
 	{"key removal", func(f *soakFleet, _ *rand.Rand) func() { f.removeKey(); return func() {} }},
 	{"configuration change", func(f *soakFleet, _ *rand.Rand) func() { f.publishConfiguration(); return func() {} }},
--- a/cmd/galenalatch/soak_fleet_test.go
+++ b/cmd/galenalatch/soak_fleet_test.go
@@ -64,6 +64,9 @@
 	version string
 }
 
+// switchVersion makes the next start one of another version.
+func (w *backendServer) switchVersion() { w.version = fmt.Sprint("v", w.starts%2) }
+
 // soakFleet is a fleet of gateway processes with stand-ins of the store and the
 // backend servers.
 type soakFleet struct {
@@ -148,6 +151,7 @@
 	g.caller, g.readiness, g.peer, g.metrics = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
 	s.Listen.Caller, s.Listen.Readiness, s.Listen.Peer, s.Listen.Metrics = g.caller, g.readiness, g.peer, g.metrics
 	s.Store.Address = g.store.address()
+	s.FirstStart = true
 	s.MemoryMegabytes, s.Descriptors = f.limits.memory, f.limits.descriptors
 	s.KeyRemoval, s.Drain.Limit = duration.Duration(soakKeyRemoval), duration.Duration(soakDrain)
 	for _, edit := range f.edits {
@@ -295,7 +299,7 @@
 	f.mu.Unlock()
 	s, err := backend.New(id, standin.HeaderNames)
 	assert.NilError(f.t, err)
-	s.Events, s.Gap = soakEvents, 15*time.Millisecond
+	s.Events, s.Gap, s.Version = soakEvents, 15*time.Millisecond, w.version
 	f.t.Cleanup(func() { assert.NilError(f.t, s.Close()) })
 	p, err := newProxy(s.Address())
 	assert.NilError(f.t, err)
--- a/cmd/galenalatch/soak_test.go
+++ b/cmd/galenalatch/soak_test.go
@@ -70,6 +70,12 @@
 	for i := range 2 * *soakGateways {
 		c.group.Go(func() error { return c.loop(ctx, i) })
 	}
+	streams := &streamCaller{f: f, sent: func(id string, gateway int) {
+		c.record(id, sentRequest{path: "/stream/", at: time.Now(), gateway: gateway})
+	}}
+	for i := range *soakGateways {
+		c.group.Go(func() error { return streams.loop(ctx, seed, i) })
+	}
 	f.inject(random, newSoakSignals(f, seed), *soakDuration)
 	f.clearFaults()
 	time.Sleep(soakRecovery)
@@ -80,6 +86,7 @@
 	violations := c.checkLeaving()
 	f.stopGateways()
 	violations = append(violations, append(c.checkRequests(), f.checkServers()...)...)
+	violations = append(violations, streams.violations()...)
 	t.Logf("seed %d: %d requests, %d served, %d refused, %d others; after recovery: %d of %d served; faults: %s",
 		seed, c.total.Load(), c.served.Load(), c.refused.Load(), c.other.Load(), c.recoveryServed.Load(), c.recovery.Load(), strings.Join(f.faultLog, ", "))
 	if len(violations) > 0 {
--- a/headers.go
+++ b/headers.go
@@ -24,6 +24,9 @@
 	// LastEvent is the id of the last event that the caller received; empty
 	// unless it resumes a stream.
 	LastEvent string
+	// FirstAttempt is the id of the caller's attempt that brought the first event of
+	// the stream that it resumes; empty if the caller did not tell.
+	FirstAttempt RequestID
 	// Model is the name of the requested model, if any.
 	Model string
 	// PromptTokens and MaxOutputTokens are the sizes that the caller
@@ -34,6 +37,18 @@
 	Prompt []PromptPart
 }
 
+// Resumes reports whether the call resumes a stream.
+func (c Call) Resumes() bool { return c.LastEvent != "" || c.FirstAttempt != "" }
+
+// Stream returns the id of the stream: that of the caller's attempt that brought its first
+// event. It is empty for a stream that is resumed and whose caller did not tell the id.
+func (c Call) Stream() RequestID {
+	if c.Resumes() {
+		return c.FirstAttempt
+	}
+	return c.ID
+}
+
 // Forwarding holds the values that a router adds to the headers of a request
 // for a backend server.
 type Forwarding struct {
--- a/internal/caller/host/accept.go
+++ b/internal/caller/host/accept.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -142,7 +143,8 @@
 }
 
 // service selects one of the route's services by weight and by a hash of the
-// request id, so that a retry goes to the same service while the weights stay.
+// stream id or else the request id, so that a retry, or an attempt to resume the stream,
+// goes to the same service while the weights stay.
 // It returns "" if all weights are 0.
 func (t *transaction) service() string {
 	total := 0
@@ -152,7 +154,7 @@
 	if total == 0 {
 		return ""
 	}
-	n := int(hashID(t.call.ID) % uint64(total))
+	n := int(hashID(cmp.Or(t.call.Stream(), t.call.ID)) % uint64(total))
 	for _, s := range t.route.Targets {
 		n -= max(s.Weight, 0)
 		if n < 0 {
--- a/internal/caller/host/handler.go
+++ b/internal/caller/host/handler.go
@@ -24,12 +24,13 @@
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/assignment"
 	"github.com/galenalatch/galenalatch/internal/fleet/rollout"
 	"github.com/galenalatch/galenalatch/internal/fleet/view"
 )
 
 // Options configure a Handler. All pointer, interface and function fields but
-// Rollouts are required.
+// Rollouts and Assignments are required.
 type Options struct {
 	View    *view.View
 	Table   *placement.Table
@@ -62,6 +63,8 @@
 	Quarantine *quarantine.List
 	// Rollouts restricts the versions of the servers; nil restricts nothing.
 	Rollouts *rollout.Controller
+	// Assignments ties streams to the version that began them; nil ties none.
+	Assignments *assignment.Controller
 }
 
 // AdmissionRequest holds the inputs of the admission decision for a request.
@@ -84,6 +87,8 @@
 	Overhead time.Duration
 	// Spare is as in placement.Reservation.
 	Spare bool
+	// Resumed is set for a stream that has begun before.
+	Resumed bool
 }
 
 // Events receives the decisions about requests. Its methods must not block.
@@ -118,10 +123,14 @@
 // Configuration is the version of the configuration. Cold is set when the server
 // is cold. Fields that are not known yet are zero.
 type Decision struct {
-	Route         string
-	Workspace     galenalatch.WorkspaceName
-	Service       string
-	Server        galenalatch.ServerID
+	Route     string
+	Workspace galenalatch.WorkspaceName
+	Service   string
+	Server    galenalatch.ServerID
+	// Version is the version that a stream is tied to; empty if none is. Resumes is the id
+	// of the stream that the request resumes; empty if it resumes none.
+	Version       string
+	Resumes       galenalatch.RequestID
 	Configuration uint64
 	// ProofAge is the time since the configuration was last known to be the
 	// newest one.
@@ -203,6 +212,7 @@
 	}
 	t := &transaction{h: h, w: w, r: r, arrival: time.Now(), path: rawPath(r)}
 	defer t.recoverPanic()
+	defer t.endStream()
 	if err := t.accept(); err != nil {
 		t.refuse(err)
 		return
--- a/internal/caller/host/stream.go
+++ b/internal/caller/host/stream.go
@@ -54,6 +54,7 @@
 		return err
 	}
 	a.Close()
+	t.streamComplete = true
 	t.h.Events.Ended(t.call.ID, t.decision, a.Status, nil)
 	return nil
 }
--- a/internal/caller/host/transaction.go
+++ b/internal/caller/host/transaction.go
@@ -15,6 +15,7 @@
 	"github.com/galenalatch/galenalatch/internal/decide/budget"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/assignment"
 	"github.com/galenalatch/galenalatch/internal/fleet/rollout"
 )
 
@@ -70,6 +71,10 @@
 	returnAfter time.Duration
 	// reservation is the place at a server that the request holds, if any.
 	reservation *placement.Reservation
+	// stream ties the attempts to one version, if any does. streamComplete is set once the
+	// caller was sent the whole stream.
+	stream         *assignment.Stream
+	streamComplete bool
 	// choice restricts the versions of the servers of the attempt, and answer is what
 	// is known of its answer.
 	choice rollout.Choice
@@ -121,10 +126,10 @@
 		return nil, err
 	}
 	now := time.Now()
-	p, ok := t.reserve(now)
+	p, err := t.reserve(ctx, now)
 	t.decision.Waited = now.Sub(t.arrival)
-	if !ok {
-		return nil, t.noServer(now)
+	if err != nil {
+		return nil, err
 	}
 	t.reservation = p
 	t.decision.Server, t.decision.Wait, t.decision.Prefill, t.decision.Queue, t.decision.Overhead = p.Server, p.Wait, p.Prefill, p.Queue, p.Overhead
@@ -133,7 +138,7 @@
 	request := AdmissionRequest{
 		Workspace: t.decision.Workspace, Route: t.route, TokenRate: t.configuration.Limits.TokenRate,
 		TimeLimit: t.timeLimit, Waited: t.decision.Waited, Wait: p.Wait, Prefill: p.Prefill, Queue: p.Queue,
-		Overhead: p.Overhead, Spare: p.Spare,
+		Overhead: p.Overhead, Spare: p.Spare, Resumed: t.stream != nil && t.call.Resumes(),
 	}
 	if len(t.tried) == 0 {
 		fractions, ok := t.h.Admit(now, request)
--- a/internal/caller/host/version.go
+++ b/internal/caller/host/version.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"time"
 
+	"github.com/galenalatch/galenalatch"
 	"github.com/galenalatch/galenalatch/internal/backend/exchange"
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/fleet/rollout"
@@ -25,22 +27,39 @@
 	a.events += bytes.Count(events, []byte("\n\n"))
 }
 
-// reserve chooses a server among those of the versions that the attempt may go to. A
-// request for a new version without a server goes to the old one.
-func (t *transaction) reserve(now time.Time) (*placement.Reservation, bool) {
+// reserve chooses a server among those of the versions that the attempt may go to.
+func (t *transaction) reserve(ctx context.Context, now time.Time) (*placement.Reservation, error) {
 	t.answer = answer{begin: now}
+	if t.h.Assignments != nil && t.route.Kind == galenalatch.StreamWork && t.route.Resumable {
+		return t.reservePinned(ctx, now)
+	}
+	p, ok := t.reserveAny(now)
+	if !ok {
+		return nil, t.noServer(now)
+	}
+	return p, nil
+}
+
+// reserveAny chooses a server for a request that no version has begun. A request for a new
+// version without a server goes to the old one.
+func (t *transaction) reserveAny(now time.Time) (*placement.Reservation, bool) {
 	t.choice = t.h.Rollouts.Choose(now, t.decision.Service, t.decision.Route, hashID(t.call.ID))
 	for {
-		p, ok := t.h.Table.Choose(now, placement.Request{
-			Service: t.decision.Service, Model: t.call.Model, Prompt: t.call.Prompt, Versions: t.choice.Versions,
-			PromptTokens: t.call.PromptTokens, Exclude: t.tried, HasIdle: t.h.Client.HasIdle,
-		})
+		p, ok := t.reserveChoice(now)
 		if ok || !t.choice.FallBack() {
 			return p, ok
 		}
 	}
 }
 
+// reserveChoice chooses a server among those of t.choice.
+func (t *transaction) reserveChoice(now time.Time) (*placement.Reservation, bool) {
+	return t.h.Table.Choose(now, placement.Request{
+		Service: t.decision.Service, Model: t.call.Model, Prompt: t.call.Prompt, Versions: t.choice.Versions,
+		PromptTokens: t.call.PromptTokens, Exclude: t.tried, HasIdle: t.h.Client.HasIdle,
+	})
+}
+
 // recordAnswer records how the server answered the attempt, for the comparison of
 // versions.
 func (t *transaction) recordAnswer(p *placement.Reservation, err error) {
--- a/internal/config/gateway/settings.go
+++ b/internal/config/gateway/settings.go
@@ -17,6 +17,10 @@
 	ID         galenalatch.RouterID   `json:"id" validate:"required,max=64,printascii"`
 	DataCentre galenalatch.DataCentre `json:"dataCentre" validate:"required,max=64,printascii"`
 
+	// FirstStart is set when the whole fleet starts for the first time, so that no stream
+	// can have begun before.
+	FirstStart bool `json:"firstStart"`
+
 	// Listen holds the addresses to listen on: for callers, for readiness
 	// probes, for other routers and for the metrics page.
 	Listen struct {
--- a/internal/decide/placement/availability.go
+++ b/internal/decide/placement/availability.go
@@ -130,7 +130,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.servers[p.Server]
-	if !ok {
+	if !ok || s.Version != p.Version {
 		return NotListed
 	}
 	// The other reasons were checked when the server was chosen, with this request
--- a/internal/decide/placement/versions.go
+++ b/internal/decide/placement/versions.go
@@ -17,9 +17,15 @@
 	Empty bool
 	// Avoid are versions that are not allowed.
 	Avoid map[string]bool
+	// Pinned is set for a stream that goes on, or begins, at the version Pin only.
+	Pinned bool
+	Pin    string
 }
 
 func (v Versions) allow(s *server) bool {
+	if v.Pinned && s.Version != v.Pin {
+		return false
+	}
 	if v.Target != "" {
 		return s.Version == v.Target && (v.Servers == nil || v.Servers[s.ID])
 	}
@@ -30,6 +36,8 @@
 type VersionUse struct {
 	// Servers are the servers that may take requests, now or soon.
 	Servers []galenalatch.ServerID
+	// Warm is the number of them that are not cold.
+	Warm int
 	// Running is the number of this router's requests at servers of the version.
 	Running int
 }
@@ -44,6 +52,9 @@
 		u.Running += s.running
 		if !t.reason(now, s).final() {
 			u.Servers = append(u.Servers, s.ID)
+			if !s.cold(now) {
+				u.Warm++
+			}
 		}
 		uses[s.Version] = u
 	}
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -25,6 +25,10 @@
 // Enabled reports whether there are bounds.
 func (b Bounds) Enabled() bool { return b.Share > 0 }
 
+// CanaryShare returns the share of requests that go to an unproved version while no route
+// lacks answers.
+func (b Bounds) CanaryShare() float64 { return usualPart * b.Share }
+
 // Fixed returns the requests that a router may send to an unproved version regardless of
 // how many it gets. Rank is its place among the routers, by which the fixed number is
 // divided: the sum over all ranks is no larger.
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -51,7 +51,9 @@
 
 // Options configure a List.
 type Options struct {
-	Store  galenalatch.Store
+	Store galenalatch.Store
+	// Direct is the store without relays, for ReadOtherRows.
+	Direct galenalatch.Store
 	Self   Member
 	Events feed.Events
 	// Listens is as in feed.Feed. It is optional.
@@ -59,6 +61,10 @@
 	// Changed is called with the list, sorted by id, and the token after each
 	// change. The token is empty until its row was read.
 	Changed func(list []Member, token string)
+	// OtherRows, if set, is called after each answer of the store with the rows of the
+	// table that other packages write, by key. Restarted is set in the first call if
+	// another process of this router was listed when this one started.
+	OtherRows func(stamp galenalatch.Stamp, rows map[string]galenalatch.StoreRow, restarted bool)
 }
 
 // List is a copy of the list of routers. It is safe for concurrent use.
@@ -66,6 +72,8 @@
 	Options
 	mu          sync.Mutex
 	rows        map[string]galenalatch.StoreRow
+	read        bool
+	position    galenalatch.Position
 	leaving     bool
 	lastRemoval time.Time
 }
@@ -77,11 +85,11 @@
 
 // Run follows the list and keeps the router's own row in it until ctx ends.
 func (l *List) Run(ctx context.Context) error {
-	f := &feed.Feed{Name: table, Wait: pollWait, Read: l.read, Events: l.Events, MinInterval: minCallInterval, Listens: l.Listens}
+	f := &feed.Feed{Name: table, Wait: pollWait, Read: l.readRows, Events: l.Events, MinInterval: minCallInterval, Listens: l.Listens}
 	return f.Run(ctx)
 }
 
-func (l *List) read(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
+func (l *List) readRows(ctx context.Context, after, seen galenalatch.Position, wait time.Duration) (galenalatch.Stamp, error) {
 	u, err := l.Store.Rows(ctx, table, after, wait)
 	if err := feed.CheckAnswer(u.Stamp, after, seen, err); err != nil {
 		return u.Stamp, err
@@ -99,10 +107,15 @@
 		l.rows[r.Key] = r
 	}
 	list, token := l.members()
+	others, restarted := l.otherRows(), !l.read && l.hasEarlierProcess()
+	l.read, l.position = true, u.Position
 	l.mu.Unlock()
 	if changed {
 		l.Changed(list, token)
 	}
+	if l.OtherRows != nil {
+		l.OtherRows(u.Stamp, others, restarted)
+	}
 	if err := l.ensureRows(ctx); err != nil {
 		return u.Stamp, err
 	}
@@ -126,6 +139,47 @@
 	return list, string(l.rows[tokenKey].Value)
 }
 
+// otherRows returns the rows that other packages write. l.mu must be held.
+func (l *List) otherRows() map[string]galenalatch.StoreRow {
+	others := make(map[string]galenalatch.StoreRow)
+	for k, r := range l.rows {
+		if isOther(k) {
+			others[k] = r
+		}
+	}
+	return others
+}
+
+// ReadOtherRows reads the rows that other packages write and that have changed after the last
+// answer of the feed, by key, from the store itself.
+func (l *List) ReadOtherRows(ctx context.Context) (map[string]galenalatch.StoreRow, error) {
+	l.mu.Lock()
+	after := l.position
+	l.mu.Unlock()
+	u, err := l.Direct.Rows(ctx, table, after, 0)
+	if err := feed.CheckAnswer(u.Stamp, after, after, err); err != nil {
+		return nil, err
+	}
+	rows := make(map[string]galenalatch.StoreRow)
+	for _, r := range u.Rows {
+		if !r.Deleted && isOther(r.Key) {
+			rows[r.Key] = r
+		}
+	}
+	return rows, nil
+}
+
+// isOther reports whether other packages write the row with a key.
+func isOther(key string) bool { return key != tokenKey && !strings.HasPrefix(key, memberPrefix) }
+
+// hasEarlierProcess reports whether the row of this router is that of another process. l.mu
+// must be held.
+func (l *List) hasEarlierProcess() bool {
+	r, ok := l.rows[memberPrefix+string(l.Self.ID)]
+	var m Member
+	return ok && (json.Unmarshal(r.Value, &m) != nil || m.Start != l.Self.Start)
+}
+
 // ensureRows writes the token and the router's own row where they are missing
 // or, for the own row, different. A conflict means that another router wrote
 // first; its row then comes through the feed.
@@ -148,14 +202,16 @@
 			want.Value = newToken()
 		}
 		want.Version = have.Version
-		if err := l.write(ctx, want); err != nil && !errors.Is(err, galenalatch.ErrWriteConflict) {
+		if err := l.Write(ctx, want); err != nil && !errors.Is(err, galenalatch.ErrWriteConflict) {
 			return err
 		}
 	}
 	return nil
 }
 
-func (l *List) write(ctx context.Context, r galenalatch.StoreRow) error {
+// Write writes a row of the table under the condition of its version, as in
+// galenalatch.Store.
+func (l *List) Write(ctx context.Context, r galenalatch.StoreRow) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return l.Store.Write(ctx, table, r)
@@ -190,7 +246,7 @@
 	if !ok || recent {
 		return nil
 	}
-	err := l.write(ctx, galenalatch.StoreRow{Key: r.Key, Version: r.Version, Deleted: true})
+	err := l.Write(ctx, galenalatch.StoreRow{Key: r.Key, Version: r.Version, Deleted: true})
 	if errors.Is(err, galenalatch.ErrWriteConflict) {
 		return nil
 	}
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -65,12 +65,17 @@
 		Store: s, Events: &r.events, Changed: r.changed,
 		Self: Member{ID: id, Address: "10.0.0.1:7400", DataCentre: "a", Start: string(id) + "-1"},
 	})
+	r.run(t)
+	return r
+}
+
+// run runs the list in the background.
+func (r *router) run(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	r.cancel = cancel
 	done := make(chan error, 1)
 	go func() { done <- r.list.Run(ctx) }()
 	t.Cleanup(func() { cancel(); assert.ErrorIs(t, <-done, context.Canceled) })
-	return r
 }
 
 // Guards against routers that do not find each other or have different tokens,
--- a/internal/peer/load/change_filter.go
+++ b/internal/peer/load/change_filter.go
@@ -26,13 +26,13 @@
 // from the last one or that is too old. If so, it records the message as sent.
 func (f *changeFilter) shouldSend(now time.Time, m galenalatch.RouterLoad) bool {
 	limit := resendInterval
-	if len(m.Servers)+len(m.Workspaces)+len(m.Limits)+len(m.Cold)+len(m.Rollouts) == 0 {
+	if len(m.Servers)+len(m.Workspaces)+len(m.Limits)+len(m.Cold)+len(m.Rollouts)+len(m.Streams) == 0 {
 		limit = idleResendInterval
 	}
 	same := slices.Equal(m.Servers, f.last.Servers) && slices.Equal(m.Workspaces, f.last.Workspaces) &&
 		reflect.DeepEqual(m.Others, f.last.Others) && slices.EqualFunc(m.Limits, f.last.Limits, sameLimit) &&
 		slices.EqualFunc(m.Cold, f.last.Cold, func(a, b galenalatch.ColdServer) bool { return a.Server == b.Server }) &&
-		reflect.DeepEqual(m.Rollouts, f.last.Rollouts) && slices.EqualFunc(m.Speeds, f.last.Speeds, sameSpeed)
+		reflect.DeepEqual(m.Rollouts, f.last.Rollouts) && slices.Equal(m.Streams, f.last.Streams) && slices.EqualFunc(m.Speeds, f.last.Speeds, sameSpeed)
 	if same && now.Sub(f.at) < limit {
 		return false
 	}
--- a/internal/peer/load/received.go
+++ b/internal/peer/load/received.go
@@ -95,8 +95,9 @@
 	limits     map[uint32]placement.LimitReport
 	// cold holds the ends of the cold times of servers.
 	cold map[uint32]time.Time
-	// rollouts holds the reports on orders.
+	// rollouts holds the reports on orders, streams those on plans of versions.
 	rollouts rolloutSum
+	streams  streamSum
 	// words are the newest of servers on their speed.
 	words map[uint32]serverload.Word
 }
@@ -104,7 +105,7 @@
 func newLoadSum() *loadSum {
 	return &loadSum{
 		servers: make(map[uint32]placement.Load), workspaces: make(map[uint32]share.Usage), limits: make(map[uint32]placement.LimitReport),
-		cold: make(map[uint32]time.Time), rollouts: make(rolloutSum), words: make(map[uint32]serverload.Word),
+		cold: make(map[uint32]time.Time), rollouts: make(rolloutSum), streams: make(streamSum), words: make(map[uint32]serverload.Word),
 	}
 }
 
@@ -125,6 +126,7 @@
 		}
 	}
 	t.rollouts.add(m.Rollouts)
+	t.streams.add(m.Streams)
 	for _, s := range m.Speeds {
 		w := serverload.Word{At: at.Add(-time.Duration(s.AgeTenths) * ageUnit), Slowdown: float64(s.SlowdownTenths) / 10}
 		if w.Slowdown > 0 && w.At.After(t.words[s.Server].At) {
@@ -155,7 +157,7 @@
 // If there are more than maxWorkspaces workspaces, it lists those that requested
 // the most tokens and adds up the others, which hardly reach their fair share.
 func (t *loadSum) message(now time.Time) galenalatch.RouterLoad {
-	m := galenalatch.RouterLoad{AgeTenths: uint8(min(t.age/ageUnit, math.MaxUint8)), Rollouts: t.rollouts.message()}
+	m := galenalatch.RouterLoad{AgeTenths: uint8(min(t.age/ageUnit, math.MaxUint8)), Rollouts: t.rollouts.message(), Streams: t.streams.message()}
 	for k, r := range t.limits {
 		m.Limits = append(m.Limits, galenalatch.ServerLimit{
 			Server: k, Named: r.Named, MilliRate: uint32(min(math.Round(r.Rate*milli), math.MaxUint32)),
--- a/internal/peer/load/syncer.go
+++ b/internal/peer/load/syncer.go
@@ -16,6 +16,7 @@
 	"github.com/galenalatch/galenalatch/internal/decide/placement"
 	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/assignment"
 	"github.com/galenalatch/galenalatch/internal/fleet/rollout"
 	"github.com/galenalatch/galenalatch/internal/fleet/topology"
 	"github.com/galenalatch/galenalatch/internal/peer/link"
@@ -48,6 +49,8 @@
 	Quarantine *quarantine.List
 	// Rollouts exchanges what routers know of orders; nil if there are none.
 	Rollouts *rollout.Controller
+	// Streams exchanges which streams are left; nil if no plan of versions is followed.
+	Streams *assignment.Controller
 	// StoreAnswered is called with each answer of the store that another
 	// router forwards. remote is set when that router is in another data centre.
 	StoreAnswered func(a galenalatch.StoreAnswer, remote bool)
@@ -151,6 +154,7 @@
 	t.age, t.limits = s.Ledger.Age(now), s.Table.LocalLimits(now)
 	t.cold, t.words = s.Table.LocalCold(now), s.Table.LocalWords(now)
 	t.rollouts.add(s.Rollouts.Reports(now))
+	t.streams.add(s.Streams.Reports(now))
 	return t.message(now)
 }
 
@@ -261,5 +265,6 @@
 	s.Table.SetRemoteWords(t.words)
 	s.Table.SetRemote(now, r, t.servers)
 	s.Rollouts.SetRemote(m.at, r, m.load.Rollouts)
+	s.Streams.SetRemote(m.at, r, m.load.Streams)
 	s.Ledger.SetRemote(now, r, t.workspaces, t.aggregate, t.age)
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/galenalatch/galenalatch/internal/decide/prefill"
 	"github.com/galenalatch/galenalatch/internal/decide/quarantine"
 	"github.com/galenalatch/galenalatch/internal/decide/share"
+	"github.com/galenalatch/galenalatch/internal/fleet/assignment"
 	"github.com/galenalatch/galenalatch/internal/fleet/members"
 	"github.com/galenalatch/galenalatch/internal/fleet/relay"
 	"github.com/galenalatch/galenalatch/internal/fleet/rollout"
@@ -98,8 +99,10 @@
 	members       *members.List
 	// rollouts is nil when the settings have no bounds on roll-outs.
 	rollouts *rollout.Controller
-	peers    *load.Syncer
-	routers  atomic.Int64
+	// assignments ties streams to the versions that began them.
+	assignments *assignment.Controller
+	peers       *load.Syncer
+	routers     atomic.Int64
 	// routerIDs is the list of routers, sorted.
 	routerIDs atomic.Pointer[[]string]
 	// lastSilenceCheck is the time of the last check for silent routers. Only
@@ -151,11 +154,13 @@
 		ColdRateFactor: s.Cold.Over, ColdSlack: s.Cold.Slack,
 	})
 	g.quarantine = quarantine.New(quarantine.Options{Owner: g.ownsPart, Held: obs.partHeld, Released: obs.partReleased})
+	direct := platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext)
 	g.relay = relay.New(relay.Options{
-		Store: platform.New(s.Store.Address, dial.Dialer{Silence: storeSilence}.DialContext),
+		Store: direct,
 		Send:  func(a galenalatch.StoreAnswer) { g.peers.ForwardStoreAnswer(a) },
 	})
 	g.rollouts = g.newRollouts(obs)
+	g.assignments = g.newAssignments(obs)
 	g.view = view.New(view.Options{
 		Store: g.relay, Table: g.table, Clock: bootTime, Events: obs, Listens: g.relay.Listens, Rollouts: g.rollouts,
 		OperatorWait: time.Duration(operatorWaitShare * float64(s.KeyRemoval)),
@@ -176,6 +181,7 @@
 		Ledger:       g.ledger,
 		Quarantine:   g.quarantine,
 		Rollouts:     g.rollouts,
+		Assignments:  g.assignments,
 	})
 	g.memory = memory.New(clientLimits(s))
 	g.ingress = &ingress.Server{
@@ -187,7 +193,7 @@
 		RejectionHeader: host.RefusalHeader(platform.Headers{}),
 		AcceptFailed:    func(err error) { g.log.Event(events.ListenerFailed, "address", s.Listen.Caller, "error", err) },
 	}
-	g.initPeers(obs)
+	g.initPeers(obs, direct)
 	return g, nil
 }
 
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -43,8 +43,14 @@
 	fractions := g.ledger.Fractions(now, d.Workspace, d.TokenRate)
 	// A request that announces an absurd prompt must not change the mean.
 	mean := g.prefills.Add(d.Route.Name, min(d.Prefill, d.Route.TargetLatency))
+	counted := fractions
+	if d.Resumed {
+		// Its workspace has paid its share for the stream already, and the caller would lose
+		// what it has got.
+		counted = share.Fractions{Pace: 1, Least: 1}
+	}
 	return fractions, g.policy.Admit(admission.Request{
 		TargetLatency: d.Route.TargetLatency, TimeLimit: d.TimeLimit, Waited: d.Waited, Wait: d.Wait, Prefill: d.Prefill, MeanPrefill: mean,
-		Overhead: d.Overhead, Spare: d.Spare, Fractions: fractions,
+		Overhead: d.Overhead, Spare: d.Spare, Fractions: counted,
 	})
 }
--- a/internal/process/gateway/observer.go
+++ b/internal/process/gateway/observer.go
@@ -67,9 +67,21 @@
 // Placed implements host.Events.
 func (o observer) Placed(r galenalatch.RequestID, d host.Decision) {
 	o.metrics.keptTokens.Add(float64(d.Cached))
-	o.log.Event(events.RequestPlaced, "request", r, "route", d.Route, "workspace", d.Workspace, "cost", d.Tokens, "server", d.Server, "attempt", d.Attempt,
+	o.log.Event(events.RequestPlaced, append([]any{"request", r, "route", d.Route, "workspace", d.Workspace, "cost", d.Tokens, "server", d.Server, "attempt", d.Attempt,
 		"configuration", d.Configuration, "proofAge", roundToMillis(d.ProofAge), "wait", roundToMillis(d.Wait), "prefill", roundToMillis(d.Prefill), "overhead", roundToMillis(d.Overhead), "cached", d.Cached, "home", d.Home, "cold", d.Cold, "slowdown", roundToHundredths(d.Slowdown), "wordAge", roundToMillis(d.WordAge), "waited", roundToMillis(d.Waited),
-		"share", roundToHundredths(d.Fractions.OfRate), "ofBegun", roundToHundredths(d.Fractions.OfStarted), "pace", roundToHundredths(d.Fractions.Pace))
+		"share", roundToHundredths(d.Fractions.OfRate), "ofBegun", roundToHundredths(d.Fractions.OfStarted), "pace", roundToHundredths(d.Fractions.Pace)}, streamFields(d)...)...)
+}
+
+// streamFields returns the fields of a stream that is tied to a version.
+func streamFields(d host.Decision) []any {
+	var fields []any
+	if d.Version != "" {
+		fields = append(fields, "version", d.Version)
+	}
+	if d.Resumes != "" {
+		fields = append(fields, "resumes", d.Resumes)
+	}
+	return fields
 }
 
 // Attempted implements host.Events.
@@ -104,10 +116,10 @@
 
 // Refused implements host.Events.
 func (o observer) Refused(r galenalatch.RequestID, d host.Decision, err error) {
-	o.log.Event(events.GatewayRefused, "request", r, "route", d.Route, "workspace", d.Workspace, "cost", d.Tokens, "configuration", d.Configuration,
+	o.log.Event(events.GatewayRefused, append([]any{"request", r, "route", d.Route, "workspace", d.Workspace, "cost", d.Tokens, "configuration", d.Configuration,
 		"proofAge", roundToMillis(d.ProofAge), "wait", roundToMillis(d.Wait), "prefill", roundToMillis(d.Prefill), "overhead", roundToMillis(d.Overhead), "waited", roundToMillis(d.Waited),
 		"share", roundToHundredths(d.Fractions.OfRate), "ofBegun", roundToHundredths(d.Fractions.OfStarted), "pace", roundToHundredths(d.Fractions.Pace),
-		"queue", roundToMillis(d.Queue), "error", err)
+		"queue", roundToMillis(d.Queue), "error", err}, streamFields(d)...)...)
 	o.metrics.refusals.WithLabelValues(string(galenalatch.KindOf(err))).Inc()
 }
 
--- a/internal/process/gateway/routers.go
+++ b/internal/process/gateway/routers.go
@@ -23,23 +23,26 @@
 )
 
 // initPeers creates the list of routers and the connections with them.
-func (g *Gateway) initPeers(obs observer) {
+func (g *Gateway) initPeers(obs observer, direct galenalatch.Store) {
 	start := string(galenalatch.NewRequestID())
 	g.peers = load.New(load.Options{
 		Self: g.settings.ID, Start: start, DataCentre: g.settings.DataCentre, Table: g.table, Ledger: g.ledger, Quarantine: g.quarantine,
 		Rollouts:      g.rollouts,
+		Streams:       g.assignments,
 		StoreAnswered: g.relay.Deliver,
 		Connected:     func(r galenalatch.RouterID) { g.log.Event(events.PeerConnected, "peer", r) },
 		Disconnected:  func(r galenalatch.RouterID, err error) { g.log.Event(events.PeerLost, "peer", r, "error", err) },
 	})
 	g.members = members.New(members.Options{
 		Store:   g.relay,
+		Direct:  direct,
 		Events:  obs,
 		Listens: g.relay.Listens,
 		Self: members.Member{
 			ID: g.settings.ID, Address: g.settings.Listen.Peer, DataCentre: g.settings.DataCentre, Start: start,
 		},
-		Changed: g.setRouters,
+		Changed:   g.setRouters,
+		OtherRows: g.setPlans,
 	})
 }
 
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -56,6 +56,7 @@
 	group.Go(func() error { return ignoreCanceled(g.runStatus(work)) })
 	group.Go(func() error { return ignoreCanceled(g.health.Run(work)) })
 	group.Go(func() error { return ignoreCanceled(g.rollouts.Run(work)) })
+	group.Go(func() error { return ignoreCanceled(g.assignments.Run(work)) })
 	group.Go(func() error { return ignoreCanceled(g.members.Run(work)) })
 	group.Go(func() error { return ignoreCanceled(g.peers.Run(work)) })
 	for i, s := range servers {
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -23,6 +23,9 @@
 	// each. They must not be changed while requests run.
 	Events int
 	Gap    time.Duration
+	// Version, if set, is told in each event of a stream. It must not be changed while
+	// requests run.
+	Version string
 
 	headerNames HeaderNames
 	listener    net.Listener
--- a/internal/standin/backend/stream.go
+++ b/internal/standin/backend/stream.go
@@ -17,13 +17,22 @@
 // garble sends one event and bytes that are no chunk, and works on.
 func (s *Server) garble(c net.Conn, id, header string) {
 	s.setWorking(id, true)
-	event := "id: 1\ndata: piece 1\n\n"
+	event := s.event(1)
 	s.write(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+
 		fmt.Sprintf("%x\r\n%s\r\n", len(event), event)+"no chunk\r\n")
 	time.Sleep(GarbledRunTime)
 	s.setWorking(id, false)
 }
 
+// event returns an event of a stream.
+func (s *Server) event(n int) string {
+	version := ""
+	if s.Version != "" {
+		version = " of " + s.Version
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d%s\n\n", n, n, version)
+}
+
 func (s *Server) setWorking(id string, working bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,7 +91,7 @@
 		return false
 	}
 	for i := lastEvent + 1; i <= s.Events; i++ {
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		event := s.event(i)
 		if f.truncate && i == lastEvent+2 {
 			event = event[:len(event)-4]
 		}
--- a/internal/standin/headers/headers.go
+++ b/internal/standin/headers/headers.go
@@ -24,6 +24,8 @@
 	// LastEvent is the ID of the last event that the caller has received of
 	// the stream that it resumes.
 	LastEvent = "Galenalatch-Last-Event"
+	// FirstAttempt is the ID of the attempt that brought the first event of that stream.
+	FirstAttempt = "Galenalatch-First-Attempt"
 	// Prompt lists the parts of a prompt as ID:TOKENS, separated by spaces.
 	Prompt = "Galenalatch-Prompt"
 	// Server is the ID of the backend server to which a request is forwarded.
@@ -53,7 +55,7 @@
 // Call implements galenalatch.Headers. It returns an error of kind
 // galenalatch.KindBadRequest for a malformed deadline or prompt.
 func (Headers) Call(h http.Header) (galenalatch.Call, error) {
-	c := galenalatch.Call{ID: galenalatch.RequestID(h.Get(Request)), Key: h.Get(IdempotencyKey), LastEvent: h.Get(LastEvent)}
+	c := galenalatch.Call{ID: galenalatch.RequestID(h.Get(Request)), Key: h.Get(IdempotencyKey), LastEvent: h.Get(LastEvent), FirstAttempt: galenalatch.RequestID(h.Get(FirstAttempt))}
 	if v := h.Get(Deadline); v != "" {
 		d, err := time.ParseDuration(v)
 		if err != nil {
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -83,6 +83,8 @@
 	RolloutStopped         Number = 8112
 	RolloutWritten         Number = 8113
 	StoreRestored          Number = 8114
+	PlanApplied            Number = 8115
+	PlanWritten            Number = 8116
 	SettingsReloaded       Number = 8201
 	ProcessStatus          Number = 8202
 	EngineSpeed            Number = 8203
@@ -282,6 +284,12 @@
 	RolloutWritten: {log.InfoLevel, "roll-out status written",
 		"This router wrote the status of a roll-out. After an error the write may have happened; the status table shows it.",
 		"When errors repeat, look for 8107."},
+	PlanApplied: {log.InfoLevel, "plan of versions changed",
+		"The router has taken over another plan of the versions that begin the streams of a service. `slots` is the number of slots of each version, `unsettled` the number of those that moved lately, so that older streams may be left at another version. Only the router that began a stream of these can resume it.",
+		"When editions follow each other for long, find out why the servers of the versions change. See \"Servers of several versions\" in `OPERATIONS.md`."},
+	PlanWritten: {log.InfoLevel, "plan of versions written",
+		"This router wrote the plan of a service. After an error the write may have happened; 8115 shows it.",
+		"When errors repeat, look for 8107."},
 	SettingsReloaded: {log.InfoLevel, "settings reloaded", "The process received SIGHUP and read its settings file again. An `error` means that it keeps the old settings.",
 		"Correct the file when there is an error."},
 	ProcessStatus: {log.InfoLevel, "process status",
--- a/message_gateway.go
+++ b/message_gateway.go
@@ -62,6 +62,24 @@
 	Rollouts []RolloutReport `cbor:"r,omitempty"`
 	// Speeds are what servers have said of their speed lately.
 	Speeds []ServerSpeed `cbor:"v,omitempty"`
+	// Streams are the reports on services whose plan of versions has changed lately.
+	Streams []StreamReport `cbor:"e,omitempty"`
+}
+
+// StreamReport tells which streams of a service are left at some routers.
+type StreamReport struct {
+	_ struct{} `cbor:",toarray"`
+	// Service is a hash of the service's name.
+	Service uint32
+	// Routers is the number of routers that have told.
+	Routers uint16
+	// Oldest and Newest are the oldest and the newest edition of the service's plan that
+	// one of them has.
+	Oldest uint64
+	Newest uint64
+	// Left has a bit for each slot of the plan in which a stream may be left at another
+	// version than that of the plan.
+	Left uint64
 }
 
 // ServerSpeed is what a server has said of its speed in an answer.
