Streams: what callers announce is bounded, and a stream keeps its service

A relay of a large fleet took the sum that it makes itself for a sign of another router while it was cut off, and would have resumed streams by an old plan. A row that the store itself had told could be replaced by an older one of the feed, which cost a call. A stream whose route moved to another service in the middle of an answer could go on there.

--- a/internal/caller/host/pinned.go
+++ b/internal/caller/host/pinned.go
@@ -13,6 +13,9 @@
 // reservePinned chooses a server for a stream that callers may resume. Its version may
 // change until the caller has got an event.
 func (t *transaction) reservePinned(ctx context.Context, now time.Time) (*placement.Reservation, error) {
+	if t.headSent && (t.stream == nil || t.stream.Service != t.decision.Service) {
+		return nil, galenalatch.KindServerUnreachable.Errorf("another service than %s has begun the stream", t.decision.Service)
+	}
 	if t.stream == nil || !t.headSent && !t.call.Resumes() {
 		if err := t.openStream(ctx, now); err != nil {
 			return nil, err
--- a/internal/fleet/assignment/confirm.go
+++ b/internal/fleet/assignment/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/galenalatch/galenalatch"
@@ -69,7 +70,8 @@
 	}
 	c.failingSince = time.Time{}
 	for key, r := range rows {
-		if s, ok := c.services[serviceOf(key)]; ok && r.Version > s.row.Version {
+		name, ok := strings.CutPrefix(key, KeyPrefix)
+		if s := c.services[name]; ok && s != nil && r.Version > s.row.Version {
 			s.setRow(r)
 		}
 	}
--- a/internal/fleet/assignment/controller.go
+++ b/internal/fleet/assignment/controller.go
@@ -3,15 +3,14 @@
 //
 // The plan of a service in the store tells which version begins a stream, see package
 // internal/decide/assignment. Any router may write the next plan, under the condition of
-// the row's version. Routers tell each other the oldest edition of the plan under which a
-// stream that is left has begun.
+// the row's version. Routers tell each other in which slots of the plan streams are left at
+// another version than that of the plan.
 package assignment
 
 import (
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -128,12 +127,16 @@
 	if !c.read {
 		c.read, c.restarted = true, r.Restarted
 	}
+	sameEra := r.Era == c.storeEra
 	if start := now.Add(-r.Clock); c.storeStart.IsZero() || r.Era != c.storeEra || start.Before(c.storeStart) {
 		c.storeStart, c.storeEra = start, r.Era
 	}
 	c.rows = r.Rows
 	for name, s := range c.services {
-		s.setRow(c.rows[KeyPrefix+name])
+		// A read of the store itself may have brought a newer row.
+		if row := c.rows[KeyPrefix+name]; !sameEra || row.Version >= s.row.Version {
+			s.setRow(row)
+		}
 	}
 }
 
@@ -228,8 +231,5 @@
 	w.c.Events.PlanWritten(w.service, w.plan, err)
 }
 
-// serviceOf returns the service of the row with a key.
-func serviceOf(key string) string { return strings.TrimPrefix(key, KeyPrefix) }
-
 // serviceKey identifies a service in messages between routers.
 func serviceKey(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/internal/fleet/assignment/reports.go
+++ b/internal/fleet/assignment/reports.go
@@ -35,7 +35,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.After(c.heardAt) {
+	if from != galenalatch.RemoteDataCentres && now.After(c.heardAt) {
 		c.heardAt = now
 	}
 	for name, s := range c.services {
--- a/internal/fleet/assignment/stream.go
+++ b/internal/fleet/assignment/stream.go
@@ -11,6 +11,9 @@
 // lateResume is how much later than its caller waits an attempt to resume a stream may arrive.
 const lateResume = time.Second
 
+// maxWait bounds the wait of a caller that counts: a caller may announce any.
+const maxWait = 2 * time.Minute
+
 // endedTime is how long after its end a complete stream counts as left: its last events may
 // not have reached its caller.
 const endedTime = time.Second
@@ -18,7 +21,8 @@
 // Stream is one attempt of a caller to begin or resume a stream, which may go to servers of
 // one version only.
 type Stream struct {
-	// Version is that of the servers.
+	// Service is that of the servers, Version theirs.
+	Service string
 	Version string
 
 	c      *Controller
@@ -106,13 +110,13 @@
 	r.open++
 	wait := s.life
 	if a.Wait > 0 {
-		wait = a.Wait + lateResume
+		wait = min(a.Wait, maxWait) + lateResume
 		s.life = max(s.life, wait)
 	}
 	if until := now.Add(wait); until.After(r.resumable) {
 		r.resumable = until
 	}
-	return &Stream{Version: version, c: s.c, record: r}
+	return &Stream{Service: s.name, Version: version, c: s.c, record: r}
 }
 
 // Ending tells how an attempt has ended.
