What workspaces asked and got is logged every second

Which workspaces got what could not be told from the logs: lines on single requests (8001, 8003) are lost at busy routers, and 8205 names workspaces only where requests are rejected unread.

Event 8206 has, for each second in which a workspace got less than it requested, what the workspaces requested and got at this router, and what they have of their share of all started tokens. The sums of all routers are what the fleet gave. No decision uses it.

--- a/internal/decide/share/ledger.go
+++ b/internal/decide/share/ledger.go
@@ -97,12 +97,12 @@
 	l.recordServing(now)
 	a, ok := l.accounts[Key(w)]
 	if !ok {
-		a = newAccount(now, l.window)
+		a = newAccount(now, w, l.window)
 		l.accounts[Key(w)] = a
 	}
 	a.add(now, u)
 	if l.total == nil {
-		l.total = newAccount(now, l.window)
+		l.total = newAccount(now, "", l.window)
 	}
 	l.total.add(now, u)
 	if l.sums != nil {
@@ -171,6 +171,21 @@
 	return usage
 }
 
+// TakeUsage returns the usage on this router since the last call. What is taken back of
+// earlier starts counts against it.
+func (l *Ledger) TakeUsage() map[galenalatch.WorkspaceName]Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usage := make(map[galenalatch.WorkspaceName]Usage)
+	for _, a := range l.accounts {
+		if a.fresh != (Usage{}) {
+			usage[a.name] = a.fresh
+			a.fresh = Usage{}
+		}
+	}
+	return usage
+}
+
 // SetRemote replaces the usage on another router: that of the workspaces that
 // requested the most tokens, and the sum of the others. age is the other
 // router's value of Age.
--- a/internal/decide/share/ledger_test.go
+++ b/internal/decide/share/ledger_test.go
@@ -346,3 +346,17 @@
 	assert.Equal(t, l.LocalUsage(last)[Key("a")].Started, 500.0)
 	l.TakeBack(last, now, "unknown", 1000)
 }
+
+// Guards against usage that is reported twice, or not at all after it was taken back.
+func TestTakeUsage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New(4 * time.Second)
+	l.Add(now, "a", Usage{Requested: 300, Started: 100})
+	assert.Equal(t, l.TakeUsage()["a"], Usage{Requested: 300, Started: 100})
+	l.Add(now, "b", Usage{Requested: 200, Started: 200})
+	l.TakeBack(now, now, "a", 100)
+	usage := l.TakeUsage()
+	assert.Equal(t, usage["a"], Usage{Started: -100})
+	assert.Equal(t, usage["b"], Usage{Requested: 200, Started: 200})
+	assert.Equal(t, len(l.TakeUsage()), 0)
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -114,6 +114,8 @@
 	// pressure is what was last logged of callers that gave way. Only loop uses it.
 	pressure   pressure
 	rejections rejections
+	// servedLoggedAt is the time of the last look at what workspaces got. Only loop uses it.
+	servedLoggedAt time.Time
 	// forgetting tells by service whether engines keep fewer than half of the prompts
 	// that they should.
 	forgetting map[string]bool
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -98,6 +98,7 @@
 			g.ingress.Sweep(now)
 			g.logPressure(now)
 			g.logRejections(now)
+			g.logServed(now)
 			g.table.Expire(now)
 			g.quarantine.Expire(now)
 			g.client.Expire(now, func(s galenalatch.ServerID) bool { return g.table.Usable(now, s) })
--- a/internal/telemetry/events/table.go
+++ b/internal/telemetry/events/table.go
@@ -90,6 +90,7 @@
 	EngineSpeed            Number = 8203
 	KeptChanged            Number = 8204
 	RequestsRejected       Number = 8205
+	WorkspacesServed       Number = 8206
 )
 
 // event is the level and message of an event, with its meaning and the action to
@@ -301,6 +302,9 @@
 	RequestsRejected: {log.WarnLevel, "requests rejected",
 		"Requests of the last second were rejected unparsed, since the router lacks processor time or has too many callers: `connections` of them, in `workspaces` by NAME:REQUESTS:TOKENS for those with most tokens. Of `unknown` the workspace is not known, nor that of connections that were closed at once. `usage` has what these workspaces requested and started at this router in the last 4 s, as NAME:REQUESTED:STARTED. `callers` is the number of open connections.",
 		"When a workspace is named for long, its callers meet too few routers: look for 8202 and add instances in their data centre."},
+	WorkspacesServed: {log.InfoLevel, "workspaces served",
+		"What the workspaces that asked for most tokens asked and got at this router in the last second, as NAME:REQUESTED:STARTED:OFBEGUN in `workspaces`, and all of them together in `requested` and `started`. OFBEGUN is what the workspace has in the last 4 s of its share of all tokens that the fleet has started, as this router knows it. `least` is what the worst served workspace of the fleet has of what it is due. Written only in seconds in which a workspace got less than it requested.",
+		"Add up the lines of all routers to see what a workspace gets of the fleet; lines on single requests may be lost at a busy router. When a workspace with OFBEGUN below 1 gets little, see 8003 and 8205 of its routers."},
 	KeptChanged: {log.InfoLevel, "kept prompts changed",
 		"First tokens show that the engines of a service keep fewer than half of the shared prompt parts for which they are the first home, or again more. `kept` is the part that they keep, `forgetful` the number of servers that keep fewer than half. Predictions stop counting on kept parts when fewer than a quarter of the first tokens confirm them.",
 		"When `kept` stays low, the memory of the engines is too small for their prompts, or smaller than configured. When `forgetful` is small, examine these servers."},
