--- a/internal/decide/admission/fairness_test.go
+++ b/internal/decide/admission/fairness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -135,6 +136,25 @@
 	return started
 }
 
+// periods returns the tokens that were started in each period of a number of seconds, with
+// the second in which it begins. The first seconds of a fleet are left out.
+func periods(started []map[galenalatch.WorkspaceName]float64, length int) iter.Seq2[int, map[galenalatch.WorkspaceName]float64] {
+	const first = 4
+	return func(yield func(int, map[galenalatch.WorkspaceName]float64) bool) {
+		for i := first; i+length <= len(started); i++ {
+			sum := make(map[galenalatch.WorkspaceName]float64)
+			for _, second := range started[i : i+length] {
+				for w, n := range second {
+					sum[w] += n
+				}
+			}
+			if !yield(i, sum) {
+				return
+			}
+		}
+	}
+}
+
 // Guards against a workspace that gets more than twice as much as another one
 // that waits, because it sends many times the requests or is on many routers.
 func TestMoreRequestsDoNotDisplaceOthers(t *testing.T) {
@@ -148,13 +168,7 @@
 			for _, factor := range []float64{2, 4, 8} {
 				t.Run(fmt.Sprintf("%.0f times the requests, %.0f tokens per second, %s", factor, configured, delay), func(t *testing.T) {
 					started := startedTokens([]workspace{{name: "large", rate: factor * actual, routers: fleetSize, prefill: own}, {name: "middle", rate: actual, routers: 2, prefill: own}, {name: "small", rate: actual / 20, routers: fleetSize, prefill: own}}, configured, engines{rate: actual, spread: 1}, delay)
-					for i := 4; i+counted <= len(started); i++ {
-						got := make(map[galenalatch.WorkspaceName]float64)
-						for _, second := range started[i : i+counted] {
-							for w, n := range second {
-								got[w] += n
-							}
-						}
+					for i, got := range periods(started, counted) {
 						if got["middle"] < got["large"]/2 {
 							t.Errorf("%.0f and %.0f tokens were started from %d s", got["middle"], got["large"], i)
 						}
@@ -195,13 +209,9 @@
 					{name: "large", rate: 4 * actual, routers: fleetSize, prefill: 60 * time.Millisecond},
 					{name: "long", rate: asked, routers: 2, prefill: prefill},
 				}, configured, engines{rate: actual, spread: spread}, 200*time.Millisecond)
-				for i := 4; i+counted <= len(started); i++ {
-					got := 0.0
-					for _, second := range started[i : i+counted] {
-						got += second["long"]
-					}
-					if got < counted*asked/2 {
-						t.Errorf("%.0f tokens of %.0f were started from %d s", got, counted*asked, i)
+				for i, got := range periods(started, counted) {
+					if got["long"] < counted*asked/2 {
+						t.Errorf("%.0f tokens of %.0f were started from %d s", got["long"], counted*asked, i)
 					}
 				}
 			})
@@ -223,13 +233,7 @@
 					{name: "wide", rate: actual / 2, routers: fleetSize, prefill: 60 * time.Millisecond, surge: 10},
 					{name: "single", rate: 2 * actual, routers: 1, prefill: 60*time.Millisecond + more},
 				}, configured, engines{rate: actual, spread: 0.5}, 200*time.Millisecond)
-				for i := 4; i+counted <= len(started); i++ {
-					got := make(map[galenalatch.WorkspaceName]float64)
-					for _, second := range started[i : i+counted] {
-						for w, n := range second {
-							got[w] += n
-						}
-					}
+				for i, got := range periods(started, counted) {
 					if got["single"] < got["wide"]/2 {
 						t.Errorf("%.0f and %.0f tokens were started from %d s", got["single"], got["wide"], i)
 					}
@@ -258,13 +262,7 @@
 						workspaces = append(workspaces, workspace{name: name, rate: load * actual, routers: fleetSize, prefill: own})
 					}
 					started := startedTokens(workspaces, configured, engines{rate: actual, spread: 0.5}, 200*time.Millisecond)
-					for i := 4; i+counted <= len(started); i++ {
-						got := make(map[galenalatch.WorkspaceName]float64)
-						for _, second := range started[i : i+counted] {
-							for w, n := range second {
-								got[w] += n
-							}
-						}
+					for i, got := range periods(started, counted) {
 						for _, name := range others {
 							if got["slow"]+3*requestSize < got[name]/2 {
 								t.Errorf("%.0f tokens were started, and %.0f of %s, from %d s", got["slow"], got[name], name, i)
