Idle engines admit workspaces that are not above both shares

Cause: the limits by share are on the whole predicted time to the first token. The part of it that the request itself takes at an idle engine does not show that others wait. Where that part alone is above the limit, requests are refused at idle engines, the fleet starts less, and with it falls the share of all that was started, by which the next ones are refused. A router that predicts longer times, or longer prompts, suffer first.

Change: an engine with a queue below 0.05 of the aim admits any request that is not late, of a workspace that is not above both of its shares. Those above both have the limits of before, so that the room goes to the ones with less.

TestIdleEnginesTakeRefusedRequests: 300 routers that see few requests each, reports 0.6 to 1.2 s old, one workspace at one router, one that surges. Failed before in 4 of 9 cases: the one at a single router got 0.1 million tokens in six seconds, another 0.38 to 1.1, and engines did 3.2 of 6.0 million; both are mended. TestAdmit: the first of its four new cases failed before. The requests of the tests now tell the queue; no expectation has changed.

--- a/internal/decide/admission/fairness_test.go
+++ b/internal/decide/admission/fairness_test.go
@@ -82,7 +82,7 @@
 	l := f.ledgers[router]
 	l.Add(now, w.name, share.Usage{Requested: requestSize})
 	queue := f.pool.wait(f.random)
-	d := Request{TargetLatency: 800 * time.Millisecond, Wait: queue + w.prefill, Prefill: w.prefill, Fractions: l.Fractions(now, w.name, configured)}
+	d := Request{TargetLatency: 800 * time.Millisecond, Queue: queue, Wait: queue + w.prefill, Prefill: w.prefill, Fractions: l.Fractions(now, w.name, configured)}
 	if !Default().Admit(d) {
 		return false
 	}
--- a/internal/decide/admission/policy.go
+++ b/internal/decide/admission/policy.go
@@ -29,8 +29,8 @@
 // cannot send to the engine, and others then have to leave it the rest.
 const spareExcess = 1.25
 
-// Policy holds the limits on the predicted time to the first token, as
-// fractions of the target latency.
+// Policy holds the limits on the predicted time to the first token, and on the part of
+// it that is spent in the queue of an engine, as fractions of the target latency.
 type Policy struct {
 	// ShareLimit is the limit for a workspace at its share. Above the share, the
 	// limit falls with what the workspace has used, so that of two workspaces
@@ -44,8 +44,12 @@
 	// waited four times the target.
 	MaxWait float64
 	// MinLimit is the lowest limit for a workspace that is not above both of
-	// its shares: nearly idle engines admit any of its requests.
+	// its shares.
 	MinLimit float64
+	// IdleQueue is the queue up to which an engine counts as idle. Idle engines
+	// admit any request of a workspace that is not above both of its shares, if
+	// its first token is not late.
+	IdleQueue float64
 	// MinYield is the lowest factor by which the limit falls for workspaces that
 	// have what they are due, while others have less.
 	MinYield float64
@@ -53,7 +57,7 @@
 
 // Default returns the policy of a gateway.
 func Default() Policy {
-	return Policy{ShareLimit: 0.95, MaxLimit: 2.5, MaxWait: 3, MinLimit: 0.15, MinYield: 0.5}
+	return Policy{ShareLimit: 0.95, MaxLimit: 2.5, MaxWait: 3, MinLimit: 0.15, IdleQueue: 0.05, MinYield: 0.5}
 }
 
 // Request describes a request for the decision.
@@ -73,8 +77,9 @@
 	Prefill     time.Duration
 	MeanPrefill time.Duration
 	// Overhead is the part of Wait that does not depend on the load of the
-	// engines.
+	// engines, Queue the part behind other requests at the engine.
 	Overhead time.Duration
+	Queue    time.Duration
 	// Spare is set when what the engine takes is bounded by a number of requests,
 	// and a part of it would be lost without this request.
 	Spare bool
@@ -105,9 +110,14 @@
 	if limit >= p.ShareLimit {
 		return within(wait-time.Duration(p.excused(limit)*float64(d.Overhead)), limit)
 	}
+	if !within(wait, p.ShareLimit) {
+		return false
+	}
+	// The time that a request takes at an idle engine does not show that others wait.
+	idle := within(d.Queue, p.IdleQueue) && p.excess(d.Fractions) <= 1
 	// Overhead comes from a router that lacks processor time and does not show
 	// that the engines are overloaded.
-	return within(wait, p.ShareLimit) && within(wait-d.Overhead, limit)
+	return idle || within(wait-d.Overhead, limit)
 }
 
 // limit returns the limit for a workspace. One below its shares is served late
@@ -124,8 +134,12 @@
 	if above <= 1 {
 		return min(yield*p.ShareLimit/above, p.MaxLimit)
 	}
-	excess := max(f.Pace*min(f.OfRate, f.OfStarted), 1)
-	return max(yield*p.ShareLimit/above, p.MinLimit) / math.Pow(excess, excessExponent)
+	return max(yield*p.ShareLimit/above, p.MinLimit) / math.Pow(p.excess(f), excessExponent)
+}
+
+// excess returns how far a workspace is above both of its shares, at least 1.
+func (p Policy) excess(f share.Fractions) float64 {
+	return max(f.Pace*min(f.OfRate, f.OfStarted), 1)
 }
 
 // excused returns the part of a delay that comes from the router and does not count
--- a/internal/decide/admission/policy_test.go
+++ b/internal/decide/admission/policy_test.go
@@ -12,7 +12,11 @@
 // Guards against requests that are admitted although their first token will be
 // late, and against workspaces above their share that displace others.
 func TestAdmit(t *testing.T) {
-	const targetLatency = time.Second
+	const (
+		targetLatency = time.Second
+		// unloaded is the time to the first token at an engine without a queue.
+		unloaded = 50 * time.Millisecond
+	)
 	tests := []struct {
 		name    string
 		request Request
@@ -60,6 +64,10 @@
 		{"late because of the router with most of the share", Request{TargetLatency: targetLatency, Wait: 1400 * time.Millisecond, Overhead: 500 * time.Millisecond, Fractions: share.Fractions{OfRate: 0.9}}, false},
 		{"permit that would be lost", Request{TargetLatency: targetLatency, Wait: 500 * time.Millisecond, Spare: true, Fractions: share.Fractions{OfRate: 2, OfStarted: 1.2}}, true},
 		{"permit that would be lost while another workspace has far less", Request{TargetLatency: targetLatency, Wait: 500 * time.Millisecond, Spare: true, Fractions: share.Fractions{OfRate: 2, OfStarted: 1.2, Least: 0.5}}, false},
+		{"idle engine, own time above the limit", Request{TargetLatency: targetLatency, Wait: 300 * time.Millisecond, Prefill: 280 * time.Millisecond, MeanPrefill: 280 * time.Millisecond, Fractions: share.Fractions{OfRate: 7, OfStarted: 1}}, true},
+		{"idle engine, own time above the limit, above both shares", Request{TargetLatency: targetLatency, Wait: 300 * time.Millisecond, Prefill: 280 * time.Millisecond, MeanPrefill: 280 * time.Millisecond, Fractions: share.Fractions{OfRate: 7, OfStarted: 1.1, Pace: 1}}, false},
+		{"short queue, own time above the limit", Request{TargetLatency: targetLatency, Wait: 340 * time.Millisecond, Prefill: 280 * time.Millisecond, MeanPrefill: 280 * time.Millisecond, Fractions: share.Fractions{OfRate: 7, OfStarted: 1}}, false},
+		{"idle engine, too late", Request{TargetLatency: targetLatency, Wait: 960 * time.Millisecond, Prefill: 950 * time.Millisecond, MeanPrefill: 950 * time.Millisecond, Fractions: share.Fractions{OfRate: 7, OfStarted: 1}}, false},
 		{"no target latency", Request{Wait: time.Hour}, true},
 	}
 	for _, tt := range tests {
@@ -68,6 +76,7 @@
 				// All workspaces have what they are due.
 				tt.request.Fractions.Least = 1
 			}
+			tt.request.Queue = max(tt.request.Wait-tt.request.Overhead-max(tt.request.Prefill, unloaded), 0)
 			assert.Equal(t, Default().Admit(tt.request), tt.admit)
 		})
 	}
--- a/internal/decide/admission/sizes_test.go
+++ b/internal/decide/admission/sizes_test.go
@@ -66,7 +66,7 @@
 				ledger.Add(now, w.name, share.Usage{Requested: cost})
 				if Default().Admit(Request{
 					TargetLatency: 800 * time.Millisecond, TimeLimit: 15 * time.Second,
-					Wait: queues[shortest] + p, Prefill: p, MeanPrefill: means.Add("route", p),
+					Queue: queues[shortest], Wait: queues[shortest] + p, Prefill: p, MeanPrefill: means.Add("route", p),
 					Fractions: ledger.Fractions(now, w.name, configured*engines),
 				}) {
 					started[size]++
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -51,6 +51,6 @@
 	}
 	return fractions, g.policy.Admit(admission.Request{
 		TargetLatency: d.Route.TargetLatency, TimeLimit: d.TimeLimit, Waited: d.Waited, Wait: d.Wait, Prefill: d.Prefill, MeanPrefill: mean,
-		Overhead: d.Overhead, Spare: d.Spare, Fractions: counted,
+		Overhead: d.Overhead, Queue: d.Queue, Spare: d.Spare, Fractions: counted,
 	})
 }
