--- a/internal/decide/admission/wide_fleet_test.go
+++ b/internal/decide/admission/wide_fleet_test.go
@@ -24,8 +24,8 @@
 	ruleFrom = 4
 )
 
-// tenant is a workspace whose requests come at random times to random ones of some routers.
-type tenant struct {
+// wideWorkspace is a workspace whose requests come at random times to random ones of some routers.
+type wideWorkspace struct {
 	name galenalatch.WorkspaceName
 	// rate is what it asks for in tokens per second, surge the factor by which that grows
 	// from at to until.
@@ -37,11 +37,11 @@
 	late time.Duration
 }
 
-func (t tenant) demand(at time.Duration) float64 {
-	if t.surge > 0 && at >= t.at && at < t.until {
-		return t.surge * t.rate
+func (w wideWorkspace) demand(at time.Duration) float64 {
+	if w.surge > 0 && at >= w.at && at < w.until {
+		return w.surge * w.rate
 	}
-	return t.rate
+	return w.rate
 }
 
 // second is what a workspace asked and got within a second. waited is set if one of its
@@ -90,29 +90,29 @@
 }
 
 // request makes one request of a workspace. It reports whether it was admitted.
-func (f *wideFleet) request(now time.Time, t tenant) bool {
+func (f *wideFleet) request(now time.Time, w wideWorkspace) bool {
 	const first, prefill = 50 * time.Millisecond, 40 * time.Millisecond
-	l := f.ledgers[t.first+f.random.IntN(t.routers)]
-	l.Add(now, t.name, share.Usage{Requested: requestSize})
+	l := f.ledgers[w.first+f.random.IntN(w.routers)]
+	l.Add(now, w.name, share.Usage{Requested: requestSize})
 	queue := f.pool.wait(f.random)
 	d := Request{
-		TargetLatency: 800 * time.Millisecond, Wait: queue + first + prefill + t.late, Queue: queue, Prefill: prefill, MeanPrefill: prefill,
-		Fractions: l.Fractions(now, t.name, f.configured),
+		TargetLatency: 800 * time.Millisecond, Wait: queue + first + prefill + w.late, Queue: queue, Prefill: prefill, MeanPrefill: prefill,
+		Fractions: l.Fractions(now, w.name, f.configured),
 	}
 	if !Default().Admit(d) {
 		return false
 	}
-	l.Add(now, t.name, share.Usage{Started: requestSize})
+	l.Add(now, w.name, share.Usage{Started: requestSize})
 	f.pool.backlog += requestSize
 	return true
 }
 
 // run plays the demand of the workspaces. It returns what they asked and got in each second.
-func (f *wideFleet) run(tenants []tenant) map[galenalatch.WorkspaceName][]second {
+func (f *wideFleet) run(workspaces []wideWorkspace) map[galenalatch.WorkspaceName][]second {
 	seconds := make(map[galenalatch.WorkspaceName][]second)
-	due := make([]float64, len(tenants))
-	for i, t := range tenants {
-		seconds[t.name] = make([]second, wideLength/time.Second)
+	due := make([]float64, len(workspaces))
+	for i, w := range workspaces {
+		seconds[w.name] = make([]second, wideLength/time.Second)
 		due[i] = f.random.ExpFloat64()
 	}
 	begin := time.Unix(1000, 0)
@@ -122,11 +122,11 @@
 			f.exchange(now)
 		}
 		f.pool.backlog = max(f.pool.backlog-f.pool.rate*step.Seconds(), 0)
-		for i, t := range tenants {
-			s := &seconds[t.name][at/time.Second]
-			for due[i] -= t.demand(at) * step.Seconds() / requestSize; due[i] <= 0; due[i] += f.random.ExpFloat64() {
+		for i, w := range workspaces {
+			s := &seconds[w.name][at/time.Second]
+			for due[i] -= w.demand(at) * step.Seconds() / requestSize; due[i] <= 0; due[i] += f.random.ExpFloat64() {
 				s.asked += requestSize
-				if f.request(now, t) {
+				if f.request(now, w) {
 					s.got += requestSize
 				} else {
 					s.waited = true
@@ -195,17 +195,17 @@
 	for _, configured := range []float64{actual / 4, actual / 2, actual} {
 		for _, late := range []time.Duration{0, 60 * time.Millisecond, 120 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%.2f of the throughput configured, one router %s late", configured/actual, late), func(t *testing.T) {
-				tenants := []tenant{
+				workspaces := []wideWorkspace{
 					{name: "surging", rate: 0.07 * actual, surge: 14, at: 12 * time.Second, until: 19 * time.Second, routers: wideRouters},
 					{name: "single", rate: 0.85 * actual, first: 7, routers: 1, late: late},
 				}
 				for i := range 3 {
-					tenants = append(tenants, tenant{name: galenalatch.WorkspaceName(fmt.Sprint("wide-", i)), rate: 0.2 * actual, routers: wideRouters})
+					workspaces = append(workspaces, wideWorkspace{name: galenalatch.WorkspaceName(fmt.Sprint("wide-", i)), rate: 0.2 * actual, routers: wideRouters})
 				}
 				for i := range 30 {
-					tenants = append(tenants, tenant{name: galenalatch.WorkspaceName(fmt.Sprint("small-", i)), rate: 0.35 * actual / 30, routers: wideRouters})
+					workspaces = append(workspaces, wideWorkspace{name: galenalatch.WorkspaceName(fmt.Sprint("small-", i)), rate: 0.35 * actual / 30, routers: wideRouters})
 				}
-				seconds := newWideFleet(engines{rate: actual, spread: 1}, configured, 1).run(tenants)
+				seconds := newWideFleet(engines{rate: actual, spread: 1}, configured, 1).run(workspaces)
 				checkFair(t, seconds)
 				checkBusy(t, seconds, actual)
 			})
--- a/internal/process/gateway/served.go
+++ b/internal/process/gateway/served.go
@@ -28,13 +28,7 @@
 	}
 	g.servedLoggedAt = now
 	usage := g.ledger.TakeUsage()
-	var total share.Usage
-	refused := false
-	for _, u := range usage {
-		total.Requested += u.Requested
-		total.Started += u.Started
-		refused = refused || u.Started < u.Requested
-	}
+	total, refused := sumUsage(usage)
 	c := g.view.Configuration()
 	if !refused || c == nil {
 		return
@@ -46,6 +40,16 @@
 		"least", roundToHundredths(fractions("").Least))
 }
 
+// sumUsage returns the sum of the usage, and whether a workspace got less than it requested.
+func sumUsage(usage map[galenalatch.WorkspaceName]share.Usage) (total share.Usage, refused bool) {
+	for _, u := range usage {
+		total.Requested += u.Requested
+		total.Started += u.Started
+		refused = refused || u.Started < u.Requested
+	}
+	return total, refused
+}
+
 // formatServed returns the workspaces that requested most as NAME:REQUESTED:STARTED:OFBEGUN.
 func formatServed(usage map[galenalatch.WorkspaceName]share.Usage, fractions func(galenalatch.WorkspaceName) share.Fractions) string {
 	names := slices.SortedFunc(maps.Keys(usage), func(a, b galenalatch.WorkspaceName) int {
